--- /dev/null
+++ b/src/command/load.c
@@ -0,0 +1,434 @@
+/*
+ * Open-loop load: arrivals follow a seeded exponential clock and never wait
+ * for answers, and times count from the intended start, so that a slow
+ * answer delays nothing but itself.  Each booking is made once under its own
+ * idempotency key; at the end the orders are counted in the targets.
+ */
+#include "command.h"
+
+#include "../process/loop.h"
+#include "client.h"
+
+#include <argp.h>
+#include <cjson/cJSON.h>
+#include <curl/curl.h>
+#include <inttypes.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define URLS_MAX 16
+#define BODY_MAX 512
+#define CODES_MAX 24
+#define CODE_NAME_MAX 40
+#define POLL_MS 1
+
+struct load_args
+{
+  const char *urls[URLS_MAX];
+  int url_count;
+  const char *key;
+  const char *group;
+  double rate;
+  double seconds;
+  double write_share;
+  uint64_t seed;
+  const char *label;
+};
+
+/* One request under way. */
+struct shot
+{
+  CURL *curl;
+  struct curl_slist *headers;
+  char body[BODY_MAX];
+  char id[64];
+  GString *reply;
+  int64_t planned_at;
+  bool write;
+};
+
+struct tally
+{
+  char code[CODE_NAME_MAX];
+  uint64_t count;
+};
+
+struct load
+{
+  struct load_args args;
+  CURLM *multi;
+  uint64_t seed;
+  uint64_t sent;
+  uint64_t done;
+  uint64_t replica;
+  uint64_t primary;
+  uint64_t open;
+  double *latency_ms;
+  size_t latency_count;
+  size_t latency_cap;
+  struct tally codes[CODES_MAX];
+  size_t code_count;
+  char **booked;
+  size_t booked_count;
+  size_t booked_cap;
+  char **unsure;
+  size_t unsure_count;
+  size_t unsure_cap;
+  char **refused;
+  size_t refused_count;
+  size_t refused_cap;
+};
+
+static const struct argp_option options[] = {
+  { "url", 'u', "URL", 0, "a host; may be given more than once", 0 },
+  { "group", 'g', "NAME", 0, "database group (orders)", 0 },
+  { "rate", 'r', "N", 0, "requests a second (100)", 0 },
+  { "seconds", 't', "S", 0, "length of the run (5)", 0 },
+  { "writes", 'w', "SHARE", 0, "share of bookings, 0 to 1 (0.2)", 0 },
+  { "seed", 'S', "N", 0, "seed of arrivals and choices (1)", 0 },
+  { "label", 'l', "TEXT", 0, "prefix of the orders' ids (load)", 0 },
+  { 0 },
+};
+
+static error_t
+parse (int key, char *arg, struct argp_state *state)
+{
+  struct load_args *a = state->input;
+
+  switch (key)
+    {
+    case 'u':
+      if (a->url_count == URLS_MAX)
+        argp_error (state, "too many hosts");
+      a->urls[a->url_count++] = arg;
+      break;
+    case 'g':
+      a->group = arg;
+      break;
+    case 'r':
+      a->rate = strtod (arg, NULL);
+      break;
+    case 't':
+      a->seconds = strtod (arg, NULL);
+      break;
+    case 'w':
+      a->write_share = strtod (arg, NULL);
+      break;
+    case 'S':
+      a->seed = strtoull (arg, NULL, 10);
+      break;
+    case 'l':
+      a->label = arg;
+      break;
+    case ARGP_KEY_ARG:
+      argp_usage (state);
+      break;
+    case ARGP_KEY_END:
+      if (a->url_count == 0 || !a->key || a->rate <= 0)
+        argp_error (state, "--url and COLTSFOOTSTAGE_KEY are required");
+      break;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+  return 0;
+}
+
+static double
+uniform (struct load *l)
+{
+  return ((double)(cfs_random (&l->seed) >> 11) + 1) / 9007199254740993.0;
+}
+
+static size_t
+take_body (char *data, size_t size, size_t count, void *ctx)
+{
+  g_string_append_len (ctx, data, (gssize)(size * count));
+  return size * count;
+}
+
+static void
+prepare_body (struct load *l, struct shot *s)
+{
+  unsigned item = (unsigned)(cfs_random (&l->seed) % 20);
+
+  snprintf (s->id, sizeof s->id, "%s-%" PRIu64 "-%" PRIu64, l->args.label,
+            l->args.seed, l->sent);
+  if (s->write)
+    snprintf (s->body, sizeof s->body,
+              "{\"sql\":\"INSERT INTO orders (id, team, item, qty) VALUES "
+              "($1, $2, $3, $4)\",\"params\":[\"%s\",\"load\",\"item-%u\",1]}",
+              s->id, item);
+  else
+    snprintf (s->body, sizeof s->body,
+              "{\"sql\":\"SELECT qty FROM stock WHERE item = $1\",\"params\":"
+              "[\"item-%u\"],\"mode\":\"read\"}",
+              item);
+}
+
+static void
+start_shot (struct load *l, int64_t planned_at)
+{
+  struct shot *s = cfs_alloc (sizeof *s);
+  char text[256];
+
+  l->sent++;
+  s->planned_at = planned_at;
+  s->write = uniform (l) < l->args.write_share;
+  prepare_body (l, s);
+  s->reply = g_string_new (NULL);
+  s->curl = curl_easy_init ();
+  snprintf (text, sizeof text, "%s/v1/groups/%s/statements",
+            l->args.urls[l->sent % (uint64_t)l->args.url_count],
+            l->args.group);
+  curl_easy_setopt (s->curl, CURLOPT_URL, text);
+  snprintf (text, sizeof text, "Authorization: Bearer %s", l->args.key);
+  s->headers = curl_slist_append (NULL, text);
+  if (s->write)
+    {
+      snprintf (text, sizeof text, "Idempotency-Key: %s", s->id);
+      s->headers = curl_slist_append (s->headers, text);
+    }
+  curl_easy_setopt (s->curl, CURLOPT_HTTPHEADER, s->headers);
+  curl_easy_setopt (s->curl, CURLOPT_POSTFIELDS, s->body);
+  curl_easy_setopt (s->curl, CURLOPT_WRITEFUNCTION, take_body);
+  curl_easy_setopt (s->curl, CURLOPT_WRITEDATA, s->reply);
+  curl_easy_setopt (s->curl, CURLOPT_PRIVATE, s);
+  curl_easy_setopt (s->curl, CURLOPT_TIMEOUT_MS, 30000L);
+  curl_easy_setopt (s->curl, CURLOPT_NOSIGNAL, 1L);
+  curl_multi_add_handle (l->multi, s->curl);
+  l->open++;
+}
+
+static void
+count_code (struct load *l, const char *code)
+{
+  size_t i = 0;
+
+  while (i < l->code_count && strcmp (l->codes[i].code, code) != 0)
+    i++;
+  if (i == CODES_MAX)
+    return;
+  if (i == l->code_count)
+    cfs_copy (l->codes[l->code_count++].code, CODE_NAME_MAX, code);
+  l->codes[i].count++;
+}
+
+static void
+keep (char ***list, size_t *cap, size_t *count, const char *id)
+{
+  cfs_grow (list, cap, *count, sizeof **list);
+  (*list)[(*count)++] = cfs_strdup (id);
+}
+
+static void
+note_write (struct load *l, const struct shot *s, const char *outcome)
+{
+  if (strcmp (outcome, "done") == 0)
+    keep (&l->booked, &l->booked_cap, &l->booked_count, s->id);
+  else if (strcmp (outcome, "not_run") == 0)
+    keep (&l->refused, &l->refused_cap, &l->refused_count, s->id);
+  else
+    keep (&l->unsure, &l->unsure_cap, &l->unsure_count, s->id);
+}
+
+static const char *
+text_of (const cJSON *doc, const char *name, const char *fallback)
+{
+  const cJSON *item = cJSON_GetObjectItemCaseSensitive (doc, name);
+
+  return cJSON_IsString (item) ? item->valuestring : fallback;
+}
+
+static void
+end_shot (struct load *l, struct shot *s, CURLcode rc)
+{
+  cJSON *doc = rc == CURLE_OK ? cJSON_Parse (s->reply->str) : NULL;
+  const char *outcome = text_of (doc, "outcome", "unknown");
+  bool ok = strcmp (outcome, "done") == 0;
+
+  count_code (l, ok ? "ok" : text_of (doc, "code", "no_answer"));
+  if (ok)
+    {
+      cfs_grow (&l->latency_ms, &l->latency_cap, l->latency_count,
+                sizeof *l->latency_ms);
+      l->latency_ms[l->latency_count++]
+          = (double)(cfs_now () - s->planned_at) / CFS_US_PER_MS;
+      l->done++;
+      if (!s->write && strcmp (text_of (doc, "from", ""), "replica") == 0)
+        l->replica++;
+      else if (!s->write)
+        l->primary++;
+    }
+  if (s->write)
+    note_write (l, s, outcome);
+  cJSON_Delete (doc);
+  curl_multi_remove_handle (l->multi, s->curl);
+  curl_easy_cleanup (s->curl);
+  curl_slist_free_all (s->headers);
+  g_string_free (s->reply, TRUE);
+  free (s);
+  l->open--;
+}
+
+static void
+collect (struct load *l)
+{
+  CURLMsg *msg;
+  int left;
+  int running;
+
+  curl_multi_perform (l->multi, &running);
+  while ((msg = curl_multi_info_read (l->multi, &left)))
+    if (msg->msg == CURLMSG_DONE)
+      {
+        struct shot *s = NULL;
+
+        curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, &s);
+        end_shot (l, s, msg->data.result);
+      }
+}
+
+static void
+run (struct load *l)
+{
+  int64_t next = cfs_now ();
+  int64_t end = next + (int64_t)(l->args.seconds * CFS_US_PER_S);
+
+  while (next < end || l->open)
+    {
+      while (next < end && cfs_now () >= next)
+        {
+          start_shot (l, next);
+          next += (int64_t)(-log (uniform (l)) / l->args.rate * CFS_US_PER_S);
+        }
+      collect (l);
+      curl_multi_poll (l->multi, NULL, 0, POLL_MS, NULL);
+    }
+}
+
+static int
+compare_doubles (const void *a, const void *b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+
+  return x < y ? -1 : x > y;
+}
+
+static double
+percentile (const struct load *l, double share)
+{
+  if (l->latency_count == 0)
+    return 0;
+  return l->latency_ms[(size_t)((double)(l->latency_count - 1) * share)];
+}
+
+/* Times an order stands in the primary, or -1 when that cannot be told. */
+static int
+count_booked (const struct load *l, const char *id)
+{
+  struct cfs_client c = { l->args.urls[0], l->args.key, 15000 };
+  struct cfs_reply reply;
+  char path[128];
+  char body[BODY_MAX];
+  cJSON *doc;
+  int n = -1;
+
+  snprintf (path, sizeof path, "/v1/groups/%s/statements", l->args.group);
+  snprintf (body, sizeof body,
+            "{\"sql\":\"SELECT id, team, item, qty FROM orders WHERE id = "
+            "$1\",\"params\":[\"%s\"],\"mode\":\"read\",\"max_age_ms\":0}",
+            id);
+  for (int tries = 0; tries < 20 && n < 0; tries++)
+    {
+      if (!cfs_client_send (&c, "POST", path, NULL, body, &reply, NULL))
+        continue;
+      doc = cJSON_Parse (reply.body);
+      if (strcmp (text_of (doc, "outcome", ""), "done") == 0)
+        n = cJSON_GetArraySize (cJSON_GetObjectItem (doc, "rows"));
+      cJSON_Delete (doc);
+      cfs_reply_end (&reply);
+    }
+  return n;
+}
+
+static size_t
+count_wrong (const struct load *l, char **ids, size_t count, int least,
+             int most)
+{
+  size_t wrong = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      int n = count_booked (l, ids[i]);
+
+      if (n >= least && n <= most)
+        continue;
+      wrong++;
+      fprintf (stderr, "load: order %s stands %d times\n", ids[i], n);
+    }
+  return wrong;
+}
+
+static size_t
+report (struct load *l)
+{
+  uint64_t reads = l->replica + l->primary;
+  size_t wrong = count_wrong (l, l->booked, l->booked_count, 1, 1)
+                 + count_wrong (l, l->refused, l->refused_count, 0, 0)
+                 + count_wrong (l, l->unsure, l->unsure_count, 0, 1);
+
+  qsort (l->latency_ms, l->latency_count, sizeof *l->latency_ms,
+         compare_doubles);
+  printf ("sent %" PRIu64 ", done %" PRIu64 " (%.1f statements/s)\n", l->sent,
+          l->done, (double)l->done / l->args.seconds);
+  printf ("latency ms: p50 %.1f, p99 %.1f, max %.1f\n", percentile (l, 0.5),
+          percentile (l, 0.99), percentile (l, 1));
+  printf ("reads on replicas: %.1f%% of %" PRIu64 "\n",
+          reads ? 100.0 * (double)l->replica / (double)reads : 0, reads);
+  for (size_t i = 0; i < l->code_count; i++)
+    printf ("answers %s: %" PRIu64 "\n", l->codes[i].code, l->codes[i].count);
+  printf ("booked once: %zu booked, %zu refused, %zu unsure, %zu wrong\n",
+          l->booked_count, l->refused_count, l->unsure_count, wrong);
+  return wrong;
+}
+
+static void
+free_list (char **list, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    free (list[i]);
+  free (list);
+}
+
+int
+command_load (int argc, char **argv)
+{
+  static const char doc[]
+      = "Sends seeded open-loop load and reports throughput, latency, share "
+        "of reads on replicas, refusals, and whether each order stands "
+        "exactly once.";
+  struct argp argp = { options, parse, NULL, doc, NULL, NULL, NULL };
+  struct load l = { .args = { .group = "orders",
+                              .rate = 100,
+                              .seconds = 5,
+                              .write_share = 0.2,
+                              .seed = 1,
+                              .label = "load",
+                              .key = getenv ("COLTSFOOTSTAGE_KEY") } };
+  size_t wrong;
+
+  argp_parse (&argp, argc, argv, 0, NULL, &l.args);
+  l.seed = l.args.seed ? l.args.seed : 1;
+  l.multi = curl_multi_init ();
+  run (&l);
+  wrong = report (&l);
+  curl_multi_cleanup (l.multi);
+  free_list (l.booked, l.booked_count);
+  free_list (l.unsure, l.unsure_count);
+  free_list (l.refused, l.refused_count);
+  free (l.latency_ms);
+  return wrong ? EXIT_FAILED : EXIT_OK;
+}
--- /dev/null
+++ b/src/connection/token.c
@@ -0,0 +1,138 @@
+/*
+ * Text form: base64url of "team\ngroup term position\n..." followed by an
+ * authenticator of 32 bytes.  Plain text inside keeps it easy to inspect;
+ * secrecy is not needed, integrity is.
+ */
+#include "token.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BINARY_MAX (TOKEN_TEXT_MAX * 3 / 4)
+#define VARIANT sodium_base64_VARIANT_URLSAFE_NO_PADDING
+
+void
+cfs_token_key (const char *secret, unsigned char *key)
+{
+  static const unsigned char context[] = "coltsfootstage session token";
+
+  crypto_generichash (key, TOKEN_KEY_BYTES, context, sizeof context,
+                      (const unsigned char *)secret, strlen (secret));
+}
+
+void
+cfs_token_write (const struct cfs_token *t, const unsigned char *key,
+                 char *out)
+{
+  unsigned char data[BINARY_MAX];
+  char *text = (char *)data;
+  size_t room = sizeof data - crypto_auth_BYTES;
+  size_t len = (size_t)snprintf (text, room, "%s\n", t->team);
+
+  for (size_t i = 0; i < t->count; i++)
+    len += (size_t)snprintf (text + len, room - len,
+                             "%s %" PRIu64 " %" PRIu64 "\n", t->at[i].group,
+                             t->at[i].term, t->at[i].position);
+  crypto_auth (data + len, data, len, key);
+  sodium_bin2base64 (out, TOKEN_TEXT_MAX, data, len + crypto_auth_BYTES,
+                     VARIANT);
+}
+
+/* Parses "group term position"; @line is terminated. */
+static bool
+read_entry (char *line, struct cfs_token_entry *e)
+{
+  char *space = strchr (line, ' ');
+  char *end;
+
+  if (!space || space == line || space - line >= CFS_NAME_MAX)
+    return false;
+  *space = '\0';
+  cfs_copy (e->group, sizeof e->group, line);
+  e->term = strtoull (space + 1, &end, 10);
+  if (*end != ' ')
+    return false;
+  e->position = strtoull (end + 1, &end, 10);
+  return *end == '\0';
+}
+
+static int
+read_text (char *text, struct cfs_token *t)
+{
+  char *save = NULL;
+  char *line;
+  char *first_end = strchr (text, '\n');
+
+  if (!first_end || first_end - text >= CFS_NAME_MAX)
+    return CFS_BAD;
+  *first_end = '\0';
+  cfs_copy (t->team, sizeof t->team, text);
+  t->count = 0;
+  for (line = strtok_r (first_end + 1, "\n", &save); line;
+       line = strtok_r (NULL, "\n", &save))
+    {
+      if (t->count == TOKEN_GROUPS_MAX || !read_entry (line, &t->at[t->count]))
+        return CFS_BAD;
+      t->count++;
+    }
+  return CFS_OK;
+}
+
+int
+cfs_token_read (const char *text, const unsigned char *key,
+                struct cfs_token *t)
+{
+  unsigned char data[BINARY_MAX + 1];
+  size_t len = 0;
+  size_t body;
+
+  if (strlen (text) >= TOKEN_TEXT_MAX
+      || sodium_base642bin (data, BINARY_MAX, text, strlen (text), NULL, &len,
+                            NULL, VARIANT)
+             != 0
+      || len < crypto_auth_BYTES)
+    return CFS_BAD;
+  body = len - crypto_auth_BYTES;
+  if (crypto_auth_verify (data + body, data, body, key) != 0)
+    return CFS_BAD;
+  data[body] = '\0';
+  if (strlen ((char *)data) != body)
+    return CFS_BAD;
+  return read_text ((char *)data, t);
+}
+
+const struct cfs_token_entry *
+cfs_token_find (const struct cfs_token *t, const char *group)
+{
+  for (size_t i = 0; i < t->count; i++)
+    if (strcmp (t->at[i].group, group) == 0)
+      return &t->at[i];
+  return NULL;
+}
+
+int
+cfs_token_advance (struct cfs_token *t, const char *group, uint64_t term,
+                   uint64_t position)
+{
+  struct cfs_token_entry *e
+      = (struct cfs_token_entry *)cfs_token_find (t, group);
+
+  if (term == 0)
+    return CFS_OK;
+  if (!e)
+    {
+      if (t->count == TOKEN_GROUPS_MAX)
+        return CFS_FULL;
+      e = &t->at[t->count++];
+      cfs_copy (e->group, sizeof e->group, group);
+      e->term = 0;
+    }
+  if (term < e->term || (term == e->term && position <= e->position))
+    return CFS_OK;
+  e->term = term;
+  e->position = position;
+  return CFS_OK;
+}
--- /dev/null
+++ b/src/process/control.c
@@ -0,0 +1,586 @@
+/*
+ * The adapter between the replicated log and the outside.  Commands of
+ * operators are proposed once and answered from the replicated table of
+ * first answers, so a patch that was sent again, to whichever leader, gets
+ * the same answer.
+ */
+#include "control.h"
+
+#include "../version/schema.h"
+#include "disk.h"
+#include "leader.h"
+#include "log.h"
+#include "net.h"
+#include "raft.h"
+#include "state.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PART "control"
+#define HTTP_OK 200
+#define HTTP_UNAVAILABLE 503
+#define AUDIT_ROWS_MAX 500
+
+/* A patch whose answer is not decided yet. */
+struct pending
+{
+  struct cfs_origin origin;
+  uint64_t id;
+  char *request_id;
+  int64_t since;
+};
+
+struct cfs_control
+{
+  const struct cfs_settings *settings;
+  struct cfs_loop *loop;
+  struct cfs_net *net;
+  struct cfs_disk *disk;
+  struct cfs_raft *raft;
+  struct cfs_state state;
+  struct cfs_leader *leader;
+  struct pending *pending;
+  size_t count;
+  size_t cap;
+  uint64_t audited;
+  enum cfs_raft_role logged_role;
+};
+
+static int
+save_vote (void *ctx, uint64_t term, uint64_t vote)
+{
+  const struct cfs_control *c = ctx;
+
+  return cfs_disk_save_vote (c->disk, term, vote);
+}
+
+static int
+append (void *ctx, const struct cfs_entry *entries, size_t count)
+{
+  const struct cfs_control *c = ctx;
+  int rc = cfs_disk_append (c->disk, entries, count);
+
+  if (rc != CFS_OK)
+    cfs_log (CFS_ERR, PART, "cannot append to the log, status %d", rc);
+  return rc;
+}
+
+static int
+truncate_log (void *ctx, uint64_t from)
+{
+  const struct cfs_control *c = ctx;
+
+  return cfs_disk_truncate (c->disk, from);
+}
+
+static int
+save_snapshot (void *ctx, const struct cfs_snapshot *s)
+{
+  const struct cfs_control *c = ctx;
+
+  return cfs_disk_save_snapshot (c->disk, s);
+}
+
+static const struct cfs_peer *
+find_peer (const struct cfs_control *c, const char *host)
+{
+  for (size_t i = 0; i < c->settings->control_count; i++)
+    if (strcmp (c->settings->control[i].host, host) == 0)
+      return &c->settings->control[i];
+  return NULL;
+}
+
+static void
+send_raft (void *ctx, const Cfs__RaftMsg *msg)
+{
+  const struct cfs_control *c = ctx;
+  const struct cfs_members *members = cfs_raft_members (c->raft);
+  Cfs__Peer out = CFS__PEER__INIT;
+
+  out.body_case = CFS__PEER__BODY_RAFT;
+  out.raft = (Cfs__RaftMsg *)msg;
+  for (size_t i = 0; i < members->count; i++)
+    if (members->at[i].id == msg->to)
+      {
+        const struct cfs_peer *p = find_peer (c, members->at[i].host);
+
+        if (p)
+          cfs_net_send (c->net, p->address, p->port, &out);
+        return;
+      }
+}
+
+static void
+write_audit (struct cfs_control *c, const struct cfs_version *v)
+{
+  cJSON *line = cJSON_CreateObject ();
+  char *text;
+  char *out;
+
+  cJSON_AddNumberToObject (line, "version", (double)v->number);
+  cJSON_AddNumberToObject (line, "from", (double)v->number - 1);
+  cJSON_AddNumberToObject (line, "when_ms", (double)v->when_ms);
+  cJSON_AddStringToObject (line, "who", v->who);
+  cJSON_AddStringToObject (line, "request_id", v->request_id);
+  cJSON_AddStringToObject (line, "patch", v->patch);
+  text = cJSON_PrintUnformatted (line);
+  out = g_strdup_printf ("%s\n", text);
+  cfs_disk_audit (c->disk, out);
+  g_free (out);
+  free (text);
+  cJSON_Delete (line);
+  c->audited = v->number;
+}
+
+static void
+apply (void *ctx, const struct cfs_entry *e)
+{
+  struct cfs_control *c = ctx;
+  const struct cfs_version *v;
+
+  if (cfs_state_apply (&c->state, e->data, e->len, e->index) != CFS_OK)
+    cfs_log (CFS_ERR, PART, "entry %" PRIu64 " is unknown", e->index);
+  if (c->state.version <= c->audited || c->state.version_count == 0)
+    return;
+  v = &c->state.versions[c->state.version_count - 1];
+  write_audit (c, v);
+  cfs_log (CFS_NOTICE, PART, "version %" PRIu64 " accepted from %s", v->number,
+           v->who);
+}
+
+static void
+restore (void *ctx, const uint8_t *data, size_t len)
+{
+  struct cfs_control *c = ctx;
+
+  if (cfs_state_restore (&c->state, data, len) != CFS_OK)
+    cfs_log (CFS_ERR, PART, "the snapshot cannot be read");
+}
+
+static size_t
+image (void *ctx, uint8_t **data)
+{
+  const struct cfs_control *c = ctx;
+
+  return cfs_state_image (&c->state, data);
+}
+
+static uint64_t
+propose (void *ctx, const uint8_t *data, size_t len)
+{
+  struct cfs_control *c = ctx;
+  uint64_t index = 0;
+
+  if (cfs_raft_propose (c->raft, data, len, cfs_now (), &index) != CFS_OK)
+    return 0;
+  return index;
+}
+
+static const struct cfs_raft_ops raft_ops
+    = { save_vote, append, truncate_log, save_snapshot,
+        send_raft, apply,  restore,      image };
+
+static const struct cfs_leader_ops leader_ops = { propose };
+
+static void
+reply_call (struct cfs_control *c, const struct cfs_origin *to, uint64_t id,
+            uint32_t status, uint64_t version, const char *body)
+{
+  Cfs__Peer out = CFS__PEER__INIT;
+  Cfs__OperatorReply reply = CFS__OPERATOR_REPLY__INIT;
+
+  reply.id = id;
+  reply.status = status;
+  reply.version = version;
+  reply.body = (char *)body;
+  out.body_case = CFS__PEER__BODY_CALLED;
+  out.called = &reply;
+  cfs_net_reply (c->net, to, &out);
+}
+
+static void
+answer_patch (struct cfs_control *c, const struct pending *p,
+              const struct cfs_patch_result *r, bool in_force)
+{
+  cJSON *doc = cJSON_CreateObject ();
+  char *text;
+
+  cJSON_AddNumberToObject (doc, "version", (double)r->version);
+  if (r->status == HTTP_OK)
+    cJSON_AddBoolToObject (doc, "in_force", in_force);
+  else
+    cJSON_AddStringToObject (doc, "detail", r->message);
+  text = cJSON_PrintUnformatted (doc);
+  reply_call (c, &p->origin, p->id, r->status, r->version, text);
+  free (text);
+  cJSON_Delete (doc);
+}
+
+/* Answers a pending patch when it can be.  Returns whether it was. */
+static bool
+settle_patch (struct cfs_control *c, const struct pending *p, bool ready,
+              int64_t now)
+{
+  const struct cfs_patch_result *r
+      = cfs_state_result (&c->state, p->request_id);
+  bool late = now - p->since > IN_FORCE_WAIT_US;
+  bool in_force;
+
+  if (!r && (late || !ready))
+    {
+      reply_call (c, &p->origin, p->id, HTTP_UNAVAILABLE, 0, "{}");
+      return true;
+    }
+  if (!r)
+    return false;
+  in_force = cfs_leader_in_force (c->leader, r->version, now);
+  if (r->status == HTTP_OK && !in_force && !late && ready)
+    return false;
+  answer_patch (c, p, r, in_force);
+  return true;
+}
+
+static void
+settle_pending (struct cfs_control *c, bool ready, int64_t now)
+{
+  size_t kept = 0;
+
+  for (size_t i = 0; i < c->count; i++)
+    if (settle_patch (c, &c->pending[i], ready, now))
+      free (c->pending[i].request_id);
+    else
+      c->pending[kept++] = c->pending[i];
+  c->count = kept;
+}
+
+static void
+take_patch (struct cfs_control *c, const struct cfs_origin *from,
+            const Cfs__OperatorCall *call, int64_t now)
+{
+  Cfs__Command cmd = CFS__COMMAND__INIT;
+  Cfs__Patch patch = CFS__PATCH__INIT;
+  struct pending *p;
+
+  cfs_grow (&c->pending, &c->cap, c->count, sizeof *c->pending);
+  p = &c->pending[c->count++];
+  p->origin = *from;
+  p->id = call->id;
+  p->request_id = cfs_strdup (call->request_id);
+  p->since = now;
+  if (!cfs_state_result (&c->state, call->request_id))
+    {
+      uint8_t *data;
+      size_t len;
+
+      patch.base_version = call->base_version;
+      patch.patch = call->body;
+      patch.who = call->who;
+      patch.request_id = call->request_id;
+      patch.when_ms = cfs_wall_ms ();
+      cmd.body_case = CFS__COMMAND__BODY_PATCH;
+      cmd.patch = &patch;
+      len = cfs__command__get_packed_size (&cmd);
+      data = cfs_alloc (len);
+      cfs__command__pack (&cmd, data);
+      propose (c, data, len);
+      free (data);
+    }
+  settle_pending (c, true, now);
+}
+
+static char *
+audit_text (const struct cfs_control *c)
+{
+  const struct cfs_state *s = &c->state;
+  cJSON *list = cJSON_CreateArray ();
+  size_t skip = s->version_count > AUDIT_ROWS_MAX
+                    ? s->version_count - AUDIT_ROWS_MAX
+                    : 0;
+  char *text;
+
+  for (size_t i = skip; i < s->version_count; i++)
+    {
+      const struct cfs_version *v = &s->versions[i];
+      cJSON *row = cJSON_CreateObject ();
+
+      cJSON_AddNumberToObject (row, "version", (double)v->number);
+      cJSON_AddNumberToObject (row, "from", (double)v->number - 1);
+      cJSON_AddNumberToObject (row, "when_ms", (double)v->when_ms);
+      cJSON_AddStringToObject (row, "who", v->who);
+      cJSON_AddStringToObject (row, "request_id", v->request_id);
+      cJSON_AddItemToObject (row, "patch", cJSON_Parse (v->patch));
+      cJSON_AddItemToArray (list, row);
+    }
+  text = cJSON_PrintUnformatted (list);
+  cJSON_Delete (list);
+  return text;
+}
+
+static void
+status_members (const struct cfs_control *c, cJSON *doc)
+{
+  const struct cfs_members *m = cfs_raft_members (c->raft);
+  cJSON *list = cJSON_AddArrayToObject (doc, "members");
+
+  for (size_t i = 0; i < m->count; i++)
+    {
+      cJSON *row = cJSON_CreateObject ();
+
+      cJSON_AddStringToObject (row, "host", m->at[i].host);
+      cJSON_AddBoolToObject (row, "voter", m->at[i].voter);
+      cJSON_AddItemToArray (list, row);
+    }
+}
+
+static void
+status_hosts (const struct cfs_control *c, cJSON *doc, int64_t now)
+{
+  const struct cfs_table *hosts = cfs_leader_hosts (c->leader);
+  cJSON *list = cJSON_AddArrayToObject (doc, "hosts");
+
+  for (size_t i = 0; i < hosts->count; i++)
+    {
+      const struct cfs_host *h = cfs_table_at (hosts, i);
+      cJSON *row = cJSON_CreateObject ();
+
+      cJSON_AddStringToObject (row, "host", h->name);
+      cJSON_AddStringToObject (row, "zone", h->zone);
+      cJSON_AddNumberToObject (row, "version", (double)h->version);
+      cJSON_AddBoolToObject (row, "leased", now < h->lease_end);
+      cJSON_AddBoolToObject (row, "draining", h->draining);
+      cJSON_AddItemToArray (list, row);
+    }
+}
+
+static void
+status_groups (const struct cfs_control *c, cJSON *doc)
+{
+  cJSON *leases = cJSON_AddArrayToObject (doc, "leases");
+  cJSON *groups = cJSON_AddArrayToObject (doc, "groups");
+
+  for (size_t i = 0; i < c->state.leases.count; i++)
+    {
+      const struct cfs_lease *l = cfs_table_at (&c->state.leases, i);
+      cJSON *row = cJSON_CreateObject ();
+
+      cJSON_AddStringToObject (row, "resource", l->resource);
+      cJSON_AddStringToObject (row, "host", l->holder);
+      cJSON_AddNumberToObject (row, "epoch", (double)l->epoch);
+      cJSON_AddItemToArray (leases, row);
+    }
+  for (size_t i = 0; i < c->state.groups.count; i++)
+    {
+      const struct cfs_group *g = cfs_table_at (&c->state.groups, i);
+      cJSON *row = cJSON_CreateObject ();
+
+      cJSON_AddStringToObject (row, "group", g->name);
+      cJSON_AddNumberToObject (row, "term", (double)g->term);
+      cJSON_AddStringToObject (row, "primary", g->primary);
+      cJSON_AddItemToArray (groups, row);
+    }
+}
+
+static char *
+status_text (const struct cfs_control *c, int64_t now)
+{
+  cJSON *doc = cJSON_CreateObject ();
+  char *text;
+
+  cJSON_AddStringToObject (doc, "leader", c->settings->host);
+  cJSON_AddNumberToObject (doc, "term", (double)cfs_raft_term (c->raft));
+  cJSON_AddNumberToObject (doc, "version", (double)c->state.version);
+  cJSON_AddBoolToObject (
+      doc, "in_force", cfs_leader_in_force (c->leader, c->state.version, now));
+  status_members (c, doc);
+  status_hosts (c, doc, now);
+  status_groups (c, doc);
+  text = cJSON_PrintUnformatted (doc);
+  cJSON_Delete (doc);
+  return text;
+}
+
+static void
+take_call (struct cfs_control *c, const struct cfs_origin *from,
+           const Cfs__OperatorCall *call, int64_t now)
+{
+  char *text;
+
+  if (!cfs_raft_ready (c->raft, now))
+    {
+      reply_call (c, from, call->id, HTTP_UNAVAILABLE, 0,
+                  cfs_raft_leader (c->raft));
+      return;
+    }
+  if (call->kind == OPERATOR_PATCH)
+    {
+      take_patch (c, from, call, now);
+      return;
+    }
+  if (call->kind == OPERATOR_CONFIG)
+    text = cfs_strdup (c->state.document);
+  else if (call->kind == OPERATOR_AUDIT)
+    text = audit_text (c);
+  else
+    text = status_text (c, now);
+  reply_call (c, from, call->id, HTTP_OK, c->state.version, text);
+  free (text);
+}
+
+static void
+take_heartbeat (struct cfs_control *c, const struct cfs_origin *from,
+                const Cfs__Heartbeat *in, int64_t now)
+{
+  Cfs__Peer out = CFS__PEER__INIT;
+  Cfs__HeartbeatReply denied = CFS__HEARTBEAT_REPLY__INIT;
+  const Cfs__HeartbeatReply *reply = NULL;
+
+  if (cfs_raft_ready (c->raft, now))
+    reply = cfs_leader_heartbeat (c->leader, in, now);
+  denied.seq = in->seq;
+  denied.leader = (char *)cfs_raft_leader (c->raft);
+  out.body_case = CFS__PEER__BODY_REPLY;
+  out.reply = reply ? (Cfs__HeartbeatReply *)reply : &denied;
+  cfs_net_reply (c->net, from, &out);
+}
+
+static void
+receive (void *ctx, const struct cfs_origin *from, const Cfs__Peer *msg)
+{
+  struct cfs_control *c = ctx;
+  int64_t now = cfs_now ();
+
+  if (msg->body_case == CFS__PEER__BODY_RAFT)
+    cfs_raft_receive (c->raft, msg->raft, now);
+  else if (msg->body_case == CFS__PEER__BODY_HEARTBEAT && from)
+    take_heartbeat (c, from, msg->heartbeat, now);
+  else if (msg->body_case == CFS__PEER__BODY_CALL && from)
+    take_call (c, from, msg->call, now);
+}
+
+uint64_t
+cfs_control_genesis (const char *host)
+{
+  return cfs_hash (host, strlen (host), 7) | 1;
+}
+
+static void
+genesis_members (const struct cfs_settings *s, struct cfs_members *m)
+{
+  m->count = s->control_count;
+  for (size_t i = 0; i < s->control_count; i++)
+    {
+      m->at[i].id = cfs_control_genesis (s->control[i].host);
+      m->at[i].voter = true;
+      cfs_copy (m->at[i].host, CFS_NAME_MAX, s->control[i].host);
+    }
+}
+
+bool
+cfs_control_format (const struct cfs_settings *s, GError **error)
+{
+  struct cfs_members members = { .count = 0 };
+
+  genesis_members (s, &members);
+  return cfs_disk_format (s->data_folder, cfs_control_genesis (s->host),
+                          &members, error);
+}
+
+static bool
+open_net (struct cfs_control *c, void *zmq, GError **error)
+{
+  struct cfs_net_setup setup = { .zmq = zmq,
+                                 .address = c->settings->address,
+                                 .port = c->settings->control_port,
+                                 .public_key = c->settings->curve_public,
+                                 .secret_key = c->settings->curve_secret,
+                                 .receive = receive,
+                                 .ctx = c };
+
+  c->net = cfs_net_new (&setup, c->loop);
+  if (!c->net)
+    g_set_error (error, CFS_DISK_ERROR, 0, "cannot listen on %s port %u",
+                 c->settings->address, c->settings->control_port);
+  return c->net != NULL;
+}
+
+struct cfs_control *
+cfs_control_new (const struct cfs_settings *settings, void *zmq,
+                 struct cfs_loop *loop, GError **error)
+{
+  struct cfs_control *c = cfs_alloc (sizeof *c);
+  struct cfs_raft_boot boot = { .id = 0 };
+  uint64_t fresh;
+
+  c->settings = settings;
+  c->loop = loop;
+  cfs_state_init (&c->state);
+  randombytes_buf (&fresh, sizeof fresh);
+  randombytes_buf (&boot.seed, sizeof boot.seed);
+  c->disk = cfs_disk_open (settings->data_folder, &boot, fresh | 2, error);
+  if (!c->disk || !open_net (c, zmq, error))
+    {
+      cfs_control_free (c);
+      return NULL;
+    }
+  if (boot.snapshot.members.count == 0)
+    {
+      cfs_log (CFS_NOTICE, PART, "the data folder is new; asks to join");
+      genesis_members (settings, &boot.snapshot.members);
+    }
+  c->audited = cfs_disk_audited (c->disk);
+  c->leader = cfs_leader_new (&leader_ops, c, &c->state);
+  c->raft = cfs_raft_new (&raft_ops, c, &boot, settings->host, cfs_now ());
+  return c;
+}
+
+void
+cfs_control_free (struct cfs_control *c)
+{
+  if (!c)
+    return;
+  cfs_raft_free (c->raft);
+  cfs_leader_free (c->leader);
+  cfs_state_end (&c->state);
+  cfs_net_free (c->net);
+  cfs_disk_close (c->disk);
+  for (size_t i = 0; i < c->count; i++)
+    free (c->pending[i].request_id);
+  free (c->pending);
+  free (c);
+}
+
+static void
+log_role (struct cfs_control *c)
+{
+  enum cfs_raft_role role = cfs_raft_role (c->raft);
+
+  if ((role == RAFT_LEADER) == (c->logged_role == RAFT_LEADER))
+    return;
+  c->logged_role = role;
+  cfs_log (CFS_NOTICE, PART,
+           role == RAFT_LEADER ? "leads in term %" PRIu64
+                               : "no longer leads in term %" PRIu64,
+           cfs_raft_term (c->raft));
+}
+
+void
+cfs_control_tick (struct cfs_control *c, int64_t now)
+{
+  bool ready;
+
+  cfs_raft_tick (c->raft, now);
+  ready = cfs_raft_ready (c->raft, now);
+  cfs_leader_tick (c->leader, ready, cfs_raft_commit (c->raft), now);
+  settle_pending (c, ready, now);
+  log_role (c);
+}
+
+void
+cfs_control_pump (struct cfs_control *c)
+{
+  cfs_net_pump (c->net);
+}
--- /dev/null
+++ b/src/process/control.h
@@ -0,0 +1,65 @@
+/**
+ * DOC: A control host: the replicated log with its disk and network, the
+ * leader's decisions, and calls of operators.  Lives in the control thread.
+ */
+#ifndef CFS_CONTROL_H
+#define CFS_CONTROL_H
+
+#include "loop.h"
+#include "settings.h"
+
+#include <glib.h>
+
+/* An accepted patch is answered at the latest after this time. */
+#define IN_FORCE_WAIT_US (4 * CFS_US_PER_S)
+
+/**
+ * enum cfs_operator_kind - calls of operators
+ * @OPERATOR_CONFIG: the document and its version
+ * @OPERATOR_PATCH: a merge patch against a numbered version
+ * @OPERATOR_AUDIT: who changed what, when
+ * @OPERATOR_STATUS: members, hosts, leases, groups
+ */
+enum cfs_operator_kind
+{
+  OPERATOR_CONFIG = 0,
+  OPERATOR_PATCH,
+  OPERATOR_AUDIT,
+  OPERATOR_STATUS
+};
+
+struct cfs_control;
+
+/**
+ * cfs_control_new() - opens the disk and the port, and starts the log
+ * @settings: settings of a control host, must outlive it
+ * @zmq: ZeroMQ context
+ * @loop: loop of the control thread
+ * @error: set when the disk is damaged or the port is taken
+ *
+ * Return: freed by cfs_control_free(), or NULL.
+ */
+struct cfs_control *cfs_control_new (const struct cfs_settings *settings,
+                                     void *zmq, struct cfs_loop *loop,
+                                     GError **error);
+
+/** cfs_control_free() - closes files and sockets */
+void cfs_control_free (struct cfs_control *control);
+
+/** cfs_control_tick() - timers; at least every 20 ms */
+void cfs_control_tick (struct cfs_control *control, int64_t now);
+
+/** cfs_control_pump() - handles what has arrived, before each wait */
+void cfs_control_pump (struct cfs_control *control);
+
+/** cfs_control_genesis() - identity of a host when a group is first formed */
+uint64_t cfs_control_genesis (const char *host);
+
+/**
+ * cfs_control_format() - prepares the data folder of a first member
+ * @settings: settings of a control host
+ * @error: set when the folder is in use or cannot be written
+ */
+bool cfs_control_format (const struct cfs_settings *settings, GError **error);
+
+#endif
--- /dev/null
+++ b/src/process/disk.c
@@ -0,0 +1,599 @@
+/*
+ * Record: length, checksum, index, term, kind, data; numbers little-endian.
+ * Offsets of the entries in the file are kept so that a truncation is one
+ * ftruncate().  A snapshot rewrites the log into a new file that replaces
+ * the old one after both are synced, so a crash leaves one whole pair.
+ */
+#include "disk.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#define RECORD_HEAD 32
+#define RECORD_MAX (64u << 20)
+#define VOTE_FILE "vote"
+#define LOG_FILE "log"
+#define SNAPSHOT_FILE "snapshot"
+#define AUDIT_FILE "audit"
+#define VOTE_BYTES 32
+
+struct mark
+{
+  uint64_t index;
+  off_t offset;
+};
+
+struct cfs_disk
+{
+  char *folder;
+  uint64_t id;
+  int log;
+  int audit;
+  off_t end;
+  struct mark *marks;
+  size_t count;
+  size_t cap;
+};
+
+GQuark
+cfs_disk_error_quark (void)
+{
+  return g_quark_from_static_string ("cfs-disk");
+}
+
+static void
+put64 (uint8_t *p, uint64_t v)
+{
+  for (int i = 0; i < 8; i++)
+    p[i] = (uint8_t)(v >> (8 * i));
+}
+
+static uint64_t
+get64 (const uint8_t *p)
+{
+  uint64_t v = 0;
+
+  for (int i = 7; i >= 0; i--)
+    v = (v << 8) | p[i];
+  return v;
+}
+
+static void
+put32 (uint8_t *p, uint32_t v)
+{
+  for (int i = 0; i < 4; i++)
+    p[i] = (uint8_t)(v >> (8 * i));
+}
+
+static uint32_t
+get32 (const uint8_t *p)
+{
+  return (uint32_t)p[0] | ((uint32_t)p[1] << 8) | ((uint32_t)p[2] << 16)
+         | ((uint32_t)p[3] << 24);
+}
+
+static bool
+fail (GError **error, const char *folder, const char *file, const char *what)
+{
+  g_set_error (error, CFS_DISK_ERROR, 0, "%s/%s: %s", folder, file, what);
+  return false;
+}
+
+static int
+open_in (const char *folder, const char *file, int flags)
+{
+  char path[4200];
+
+  snprintf (path, sizeof path, "%s/%s", folder, file);
+  return open (path, flags | O_CLOEXEC, 0600);
+}
+
+static bool
+write_all (int fd, const uint8_t *data, size_t len)
+{
+  while (len > 0)
+    {
+      ssize_t n = write (fd, data, len);
+
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n <= 0)
+        return false;
+      data += n;
+      len -= (size_t)n;
+    }
+  return true;
+}
+
+static bool
+sync_folder (const char *folder)
+{
+  int fd = open (folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  bool ok = fd >= 0 && fsync (fd) == 0;
+
+  if (fd >= 0)
+    close (fd);
+  return ok;
+}
+
+/* Replaces a file: write aside, sync, rename, sync the folder. */
+static bool
+replace_file (const char *folder, const char *file, const uint8_t *data,
+              size_t len)
+{
+  char from[4200];
+  char to[4200];
+  int fd;
+  bool ok;
+
+  snprintf (from, sizeof from, "%s/%s.new", folder, file);
+  snprintf (to, sizeof to, "%s/%s", folder, file);
+  fd = open (from, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (fd < 0)
+    return false;
+  ok = write_all (fd, data, len) && fsync (fd) == 0;
+  close (fd);
+  return ok && rename (from, to) == 0 && sync_folder (folder);
+}
+
+/* Whole file in memory for the caller, NULL when absent or unreadable. */
+static uint8_t *
+read_file (const char *folder, const char *file, size_t *len)
+{
+  int fd = open_in (folder, file, O_RDONLY);
+  struct stat st;
+  uint8_t *data;
+  size_t got = 0;
+
+  *len = 0;
+  if (fd < 0)
+    return NULL;
+  if (fstat (fd, &st) != 0)
+    {
+      close (fd);
+      return NULL;
+    }
+  data = cfs_alloc ((size_t)st.st_size + 1);
+  while (got < (size_t)st.st_size)
+    {
+      ssize_t n = read (fd, data + got, (size_t)st.st_size - got);
+
+      if (n <= 0)
+        break;
+      got += (size_t)n;
+    }
+  close (fd);
+  *len = got;
+  return data;
+}
+
+static size_t
+encode_record (const struct cfs_entry *e, uint8_t *out)
+{
+  put32 (out, e->len);
+  put64 (out + 8, e->index);
+  put64 (out + 16, e->term);
+  put32 (out + 24, e->kind);
+  put32 (out + 28, 0);
+  if (e->len)
+    memcpy (out + RECORD_HEAD, e->data, e->len);
+  put32 (out + 4,
+         (uint32_t)cfs_hash (out + 8, RECORD_HEAD - 8 + e->len, e->len + 1));
+  return RECORD_HEAD + e->len;
+}
+
+/* Length of the record at @p, 0 when it is not whole and sound. */
+static size_t
+check_record (const uint8_t *p, size_t left)
+{
+  uint32_t len;
+
+  if (left < RECORD_HEAD)
+    return 0;
+  len = get32 (p);
+  if (len > RECORD_MAX || left < RECORD_HEAD + (size_t)len)
+    return 0;
+  if (get32 (p + 4)
+      != (uint32_t)cfs_hash (p + 8, RECORD_HEAD - 8 + len, len + 1))
+    return 0;
+  return RECORD_HEAD + (size_t)len;
+}
+
+/* Whether any sound record starts behind a damaged place: then the damage is
+   not a torn tail. */
+static bool
+sound_record_follows (const uint8_t *p, size_t left)
+{
+  for (size_t i = 1; i + RECORD_HEAD <= left; i++)
+    if (check_record (p + i, left - i))
+      return true;
+  return false;
+}
+
+static void
+add_mark (struct cfs_disk *d, uint64_t index, off_t offset)
+{
+  cfs_grow (&d->marks, &d->cap, d->count, sizeof *d->marks);
+  d->marks[d->count].index = index;
+  d->marks[d->count].offset = offset;
+  d->count++;
+}
+
+static void
+add_entry (struct cfs_raft_boot *boot, size_t *cap, const uint8_t *p)
+{
+  struct cfs_entry *e;
+
+  cfs_grow (&boot->entries, cap, boot->count, sizeof *boot->entries);
+  e = &boot->entries[boot->count++];
+  e->len = get32 (p);
+  e->index = get64 (p + 8);
+  e->term = get64 (p + 16);
+  e->kind = get32 (p + 24);
+  e->data = cfs_alloc (e->len);
+  if (e->len)
+    memcpy (e->data, p + RECORD_HEAD, e->len);
+}
+
+/* Reads the log behind the snapshot.  Invariant of the loop: everything
+   before offset is sound. */
+static bool
+load_log (struct cfs_disk *d, struct cfs_raft_boot *boot, GError **error)
+{
+  size_t len;
+  uint8_t *data = read_file (d->folder, LOG_FILE, &len);
+  size_t offset = 0;
+  size_t cap = 0;
+  bool ok = true;
+
+  while (offset < len)
+    {
+      size_t n = check_record (data + offset, len - offset);
+      uint64_t index;
+
+      if (n == 0)
+        {
+          if (sound_record_follows (data + offset, len - offset))
+            ok = fail (error, d->folder, LOG_FILE,
+                       "damaged before its last record; replace this disk");
+          break;
+        }
+      index = get64 (data + offset + 8);
+      if (index > boot->snapshot.index)
+        {
+          if (index != boot->snapshot.index + boot->count + 1)
+            {
+              ok = fail (error, d->folder, LOG_FILE,
+                         "a record is missing; replace this disk");
+              break;
+            }
+          add_entry (boot, &cap, data + offset);
+        }
+      add_mark (d, index, (off_t)offset);
+      offset += n;
+    }
+  free (data);
+  d->end = (off_t)offset;
+  if (ok && offset < len
+      && (ftruncate (d->log, d->end) != 0 || fsync (d->log) != 0))
+    ok = fail (error, d->folder, LOG_FILE, "cannot cut a torn record");
+  return ok;
+}
+
+/* The snapshot file is one record whose data is a packed RaftMsg. */
+static size_t
+pack_snapshot (const struct cfs_snapshot *s, uint8_t **out)
+{
+  Cfs__RaftMsg m = CFS__RAFT_MSG__INIT;
+  Cfs__RaftEntry rows[RAFT_MEMBERS_MAX];
+  Cfs__RaftEntry *list[RAFT_MEMBERS_MAX];
+  struct cfs_entry e = { .index = s->index, .term = s->term };
+  size_t len;
+
+  m.index = s->index;
+  m.log_term = s->term;
+  m.snapshot.data = s->data;
+  m.snapshot.len = s->len;
+  for (size_t i = 0; i < s->members.count; i++)
+    {
+      cfs__raft_entry__init (&rows[i]);
+      rows[i].index = s->members.at[i].id;
+      rows[i].kind = s->members.at[i].voter;
+      rows[i].data.data = (uint8_t *)s->members.at[i].host;
+      rows[i].data.len = strlen (s->members.at[i].host);
+      list[i] = &rows[i];
+    }
+  m.entries = list;
+  m.n_entries = s->members.count;
+  e.len = (uint32_t)cfs__raft_msg__get_packed_size (&m);
+  e.data = cfs_alloc (e.len);
+  cfs__raft_msg__pack (&m, e.data);
+  *out = cfs_alloc (RECORD_HEAD + e.len);
+  len = encode_record (&e, *out);
+  free (e.data);
+  return len;
+}
+
+static void
+unpack_snapshot (const Cfs__RaftMsg *m, struct cfs_snapshot *s)
+{
+  s->index = m->index;
+  s->term = m->log_term;
+  s->len = m->snapshot.len;
+  s->data = cfs_alloc (s->len);
+  if (s->len)
+    memcpy (s->data, m->snapshot.data, s->len);
+  for (size_t i = 0; i < m->n_entries && i < RAFT_MEMBERS_MAX; i++)
+    {
+      struct cfs_member *row = &s->members.at[s->members.count++];
+      size_t n = m->entries[i]->data.len;
+
+      row->id = m->entries[i]->index;
+      row->voter = m->entries[i]->kind != 0;
+      if (n >= sizeof row->host)
+        n = sizeof row->host - 1;
+      memcpy (row->host, m->entries[i]->data.data, n);
+      row->host[n] = '\0';
+    }
+}
+
+static bool
+load_snapshot (struct cfs_disk *d, struct cfs_snapshot *s, GError **error)
+{
+  size_t len;
+  uint8_t *data = read_file (d->folder, SNAPSHOT_FILE, &len);
+  Cfs__RaftMsg *m = NULL;
+
+  if (!data)
+    return true;
+  if (check_record (data, len) == len)
+    m = cfs__raft_msg__unpack (NULL, len - RECORD_HEAD, data + RECORD_HEAD);
+  free (data);
+  if (!m)
+    return fail (error, d->folder, SNAPSHOT_FILE,
+                 "damaged; replace this disk");
+  unpack_snapshot (m, s);
+  cfs__raft_msg__free_unpacked (m, NULL);
+  return true;
+}
+
+static bool
+write_vote (const char *folder, uint64_t id, uint64_t term, uint64_t vote)
+{
+  uint8_t data[VOTE_BYTES];
+
+  put64 (data, id);
+  put64 (data + 8, term);
+  put64 (data + 16, vote);
+  put64 (data + 24, cfs_hash (data, 24, 1));
+  return replace_file (folder, VOTE_FILE, data, sizeof data);
+}
+
+static bool
+load_vote (struct cfs_disk *d, struct cfs_raft_boot *boot, uint64_t fresh_id,
+           GError **error)
+{
+  size_t len;
+  uint8_t *data = read_file (d->folder, VOTE_FILE, &len);
+  bool sound = data && len == VOTE_BYTES
+               && get64 (data + 24) == cfs_hash (data, 24, 1);
+
+  if (sound)
+    {
+      boot->id = get64 (data);
+      boot->term = get64 (data + 8);
+      boot->vote = get64 (data + 16);
+    }
+  else if (data)
+    fail (error, d->folder, VOTE_FILE, "damaged; replace this disk");
+  else
+    {
+      boot->id = fresh_id;
+      sound = write_vote (d->folder, fresh_id, 0, 0)
+              || fail (error, d->folder, VOTE_FILE, "cannot write");
+    }
+  free (data);
+  d->id = boot->id;
+  return sound;
+}
+
+bool
+cfs_disk_format (const char *folder, uint64_t id,
+                 const struct cfs_members *members, GError **error)
+{
+  struct cfs_snapshot s = { .members = *members };
+  uint8_t *data;
+  size_t len;
+  bool ok;
+  int fd;
+
+  if (mkdir (folder, 0700) != 0 && errno != EEXIST)
+    return fail (error, folder, "", "cannot make the folder");
+  fd = open_in (folder, VOTE_FILE, O_RDONLY);
+  if (fd >= 0)
+    {
+      close (fd);
+      return fail (error, folder, VOTE_FILE, "the folder is in use");
+    }
+  len = pack_snapshot (&s, &data);
+  ok = replace_file (folder, SNAPSHOT_FILE, data, len)
+       && write_vote (folder, id, 0, 0);
+  free (data);
+  return ok || fail (error, folder, VOTE_FILE, "cannot write");
+}
+
+struct cfs_disk *
+cfs_disk_open (const char *folder, struct cfs_raft_boot *boot,
+               uint64_t fresh_id, GError **error)
+{
+  struct cfs_disk *d = cfs_alloc (sizeof *d);
+
+  d->folder = cfs_strdup (folder);
+  d->log = -1;
+  d->audit = -1;
+  if (mkdir (folder, 0700) != 0 && errno != EEXIST)
+    {
+      fail (error, folder, "", "cannot make the folder");
+      cfs_disk_close (d);
+      return NULL;
+    }
+  d->log = open_in (folder, LOG_FILE, O_RDWR | O_CREAT | O_APPEND);
+  d->audit = open_in (folder, AUDIT_FILE, O_WRONLY | O_CREAT | O_APPEND);
+  if (d->log < 0 || d->audit < 0 || !sync_folder (folder))
+    {
+      fail (error, folder, LOG_FILE, "cannot open");
+      cfs_disk_close (d);
+      return NULL;
+    }
+  if (load_vote (d, boot, fresh_id, error)
+      && load_snapshot (d, &boot->snapshot, error)
+      && load_log (d, boot, error))
+    return d;
+  cfs_disk_close (d);
+  return NULL;
+}
+
+void
+cfs_disk_close (struct cfs_disk *d)
+{
+  if (!d)
+    return;
+  if (d->log >= 0)
+    close (d->log);
+  if (d->audit >= 0)
+    close (d->audit);
+  free (d->folder);
+  free (d->marks);
+  free (d);
+}
+
+int
+cfs_disk_save_vote (struct cfs_disk *d, uint64_t term, uint64_t vote)
+{
+  return write_vote (d->folder, d->id, term, vote) ? CFS_OK : CFS_IO;
+}
+
+int
+cfs_disk_append (struct cfs_disk *d, const struct cfs_entry *entries,
+                 size_t count)
+{
+  size_t total = 0;
+  size_t used = 0;
+  uint8_t *data;
+  bool ok;
+
+  for (size_t i = 0; i < count; i++)
+    total += RECORD_HEAD + entries[i].len;
+  data = cfs_alloc (total);
+  for (size_t i = 0; i < count; i++)
+    used += encode_record (&entries[i], data + used);
+  ok = write_all (d->log, data, used) && fdatasync (d->log) == 0;
+  free (data);
+  if (!ok)
+    {
+      if (ftruncate (d->log, d->end) != 0)
+        return CFS_CORRUPT;
+      return CFS_IO;
+    }
+  for (size_t i = 0; i < count; i++)
+    {
+      add_mark (d, entries[i].index, d->end);
+      d->end += (off_t)(RECORD_HEAD + entries[i].len);
+    }
+  return CFS_OK;
+}
+
+int
+cfs_disk_truncate (struct cfs_disk *d, uint64_t from)
+{
+  size_t keep = d->count;
+
+  while (keep > 0 && d->marks[keep - 1].index >= from)
+    keep--;
+  if (keep == d->count)
+    return CFS_OK;
+  if (ftruncate (d->log, d->marks[keep].offset) != 0
+      || fdatasync (d->log) != 0)
+    return CFS_IO;
+  d->end = d->marks[keep].offset;
+  d->count = keep;
+  return CFS_OK;
+}
+
+/* Writes the log behind @index into a new file that takes its place. */
+static bool
+rewrite_log (struct cfs_disk *d, uint64_t index)
+{
+  size_t first = 0;
+  size_t len;
+  uint8_t *data = read_file (d->folder, LOG_FILE, &len);
+  off_t cut;
+  int fd;
+
+  while (first < d->count && d->marks[first].index <= index)
+    first++;
+  cut = first < d->count ? d->marks[first].offset : d->end;
+  if (!data || (off_t)len < d->end
+      || !replace_file (d->folder, LOG_FILE, data + cut,
+                        (size_t)(d->end - cut)))
+    {
+      free (data);
+      return false;
+    }
+  free (data);
+  fd = open_in (d->folder, LOG_FILE, O_RDWR | O_APPEND);
+  if (fd < 0)
+    return false;
+  close (d->log);
+  d->log = fd;
+  d->end -= cut;
+  d->count -= first;
+  for (size_t i = 0; i < d->count; i++)
+    {
+      d->marks[i] = d->marks[i + first];
+      d->marks[i].offset -= cut;
+    }
+  return true;
+}
+
+int
+cfs_disk_save_snapshot (struct cfs_disk *d, const struct cfs_snapshot *s)
+{
+  uint8_t *data;
+  size_t len = pack_snapshot (s, &data);
+  bool ok = replace_file (d->folder, SNAPSHOT_FILE, data, len);
+
+  free (data);
+  if (!ok)
+    return CFS_IO;
+  return rewrite_log (d, s->index) ? CFS_OK : CFS_CORRUPT;
+}
+
+void
+cfs_disk_audit (struct cfs_disk *d, const char *line)
+{
+  if (!write_all (d->audit, (const uint8_t *)line, strlen (line)))
+    return;
+  fdatasync (d->audit);
+}
+
+uint64_t
+cfs_disk_audited (struct cfs_disk *d)
+{
+  static const char field[] = "{\"version\":";
+  size_t len;
+  uint8_t *data = read_file (d->folder, AUDIT_FILE, &len);
+  uint64_t last = 0;
+
+  for (size_t i = 0; i + sizeof field < len; i++)
+    if ((i == 0 || data[i - 1] == '\n')
+        && memcmp (data + i, field, sizeof field - 1) == 0)
+      last = strtoull ((char *)data + i + sizeof field - 1, NULL, 10);
+  free (data);
+  return last;
+}
--- /dev/null
+++ b/src/process/leader.h
@@ -0,0 +1,130 @@
+/**
+ * DOC: Decisions of the control leader: host leases, placement of gates and
+ * limiters, grants of terms, discovery of groups.
+ *
+ * Renewals live in the leader's memory; only changes of a holder go through
+ * the replicated log.  A new leader therefore waits one full lease before it
+ * moves anything that it did not see released.  No I/O and no clock.
+ */
+#ifndef CFS_LEADER_H
+#define CFS_LEADER_H
+
+#include "../cfs.h"
+#include "../version/conf.h"
+#include "state.h"
+
+/* A host may act on its leases this long after it sent its heartbeat. */
+#define LEASE_US (1500 * CFS_US_PER_MS)
+/* The leader waits this long after it answered, for drift between clocks. */
+#define LEASE_WAIT_US (LEASE_US + LEASE_US / 20)
+/* Time between heartbeats of a host. */
+#define HEARTBEAT_US (300 * CFS_US_PER_MS)
+/* The same while a change of primary is under way. */
+#define HEARTBEAT_URGENT_US (25 * CFS_US_PER_MS)
+/* A host silent for longer is given nothing new. */
+#define HOST_FRESH_US (700 * CFS_US_PER_MS)
+/* A host or instance silent for longer is forgotten. */
+#define HOST_FORGET_US (600 * CFS_US_PER_S)
+/* Announcements are collected this long before a group's first term. */
+#define GROUP_DISCOVERY_US (300 * CFS_US_PER_MS)
+
+struct cfs_leader;
+
+/**
+ * struct cfs_leader_ops - effects of the leader
+ * @propose: appends a packed command to the replicated log and returns its
+ * index, or 0 when it was refused
+ */
+struct cfs_leader_ops
+{
+  uint64_t (*propose) (void *ctx, const uint8_t *data, size_t len);
+};
+
+/** struct cfs_host - what the leader knows of one host; not replicated */
+struct cfs_host
+{
+  char name[CFS_NAME_MAX];
+  char zone[CFS_NAME_MAX];
+  char address[CFS_NAME_MAX];
+  uint32_t port;
+  uint64_t boot;
+  uint64_t version;
+  uint64_t fence;
+  int64_t seen_at;
+  int64_t lease_end;
+  int64_t old_boot_end;
+  bool draining;
+};
+
+/** struct cfs_instance - what the leader knows of one target instance */
+struct cfs_instance
+{
+  char name[CFS_NAME_MAX];
+  char group[CFS_NAME_MAX];
+  char zone[CFS_NAME_MAX];
+  char address[CFS_NAME_MAX];
+  uint32_t port;
+  uint32_t slots;
+  uint32_t connections;
+  uint64_t term;
+  uint64_t position;
+  bool primary;
+  bool leaving;
+  int64_t first_seen;
+  int64_t seen_at;
+};
+
+/**
+ * cfs_leader_new() - a leader that is not leading yet
+ * @ops: effects, must outlive it
+ * @ctx: first argument of every effect
+ * @state: replicated state, must outlive it
+ *
+ * Return: freed by cfs_leader_free().
+ */
+struct cfs_leader *cfs_leader_new (const struct cfs_leader_ops *ops, void *ctx,
+                                   const struct cfs_state *state);
+
+/** cfs_leader_free() - frees the leader and its tables */
+void cfs_leader_free (struct cfs_leader *leader);
+
+/**
+ * cfs_leader_tick() - placement; to be called at least every 100 ms
+ * @leader: leader
+ * @ready: whether this host leads with a confirmed majority at @now
+ * @applied: log index up to which @state is applied
+ * @now: time
+ */
+void cfs_leader_tick (struct cfs_leader *leader, bool ready, uint64_t applied,
+                      int64_t now);
+
+/**
+ * cfs_leader_heartbeat() - answers a host
+ * @leader: leader
+ * @in: the heartbeat
+ * @now: time
+ *
+ * The lease is renewed when the reply says granted.
+ * Return: the reply, owned by the leader until the next call, or NULL when
+ * this host does not lead.
+ */
+const Cfs__HeartbeatReply *cfs_leader_heartbeat (struct cfs_leader *leader,
+                                                 const Cfs__Heartbeat *in,
+                                                 int64_t now);
+
+/**
+ * cfs_leader_in_force() - whether every host that can serve holds a version
+ * @leader: leader
+ * @version: number
+ * @now: time
+ */
+bool cfs_leader_in_force (const struct cfs_leader *leader, uint64_t version,
+                          int64_t now);
+
+/** cfs_leader_hosts() - rows of struct cfs_host, read only */
+const struct cfs_table *cfs_leader_hosts (const struct cfs_leader *leader);
+
+/** cfs_leader_instances() - rows of struct cfs_instance, read only */
+const struct cfs_table *cfs_leader_instances (const struct cfs_leader *leader);
+
+#endif
--- /dev/null
+++ b/src/process/net.c
@@ -0,0 +1,339 @@
+/*
+ * DEALER sockets with ZMQ_IMMEDIATE give the property that everything above
+ * builds on: a send either reaches a live connection or fails at once.  A
+ * single ROUTER for all peers was ruled out, because with immediate
+ * connections it cannot name more than one peer reliably.
+ */
+#include "net.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#define SEND_QUEUE 10000
+#define PING_MS 500
+#define PING_TIMEOUT_MS 1500
+#define RECONNECT_MS 50
+#define RECONNECT_MAX_MS 500
+#define ENDPOINT_MAX 96
+#define GUARD_ENDPOINT "inproc://zeromq.zap.01"
+#define GUARD_STOP "inproc://coltsfootstage-guard-stop"
+
+struct link
+{
+  char endpoint[ENDPOINT_MAX];
+  void *socket;
+  int watch;
+};
+
+struct cfs_net
+{
+  struct cfs_net_setup setup;
+  struct cfs_loop *loop;
+  void *router;
+  int watch;
+  struct link *links;
+  size_t count;
+  size_t cap;
+};
+
+struct cfs_net_guard
+{
+  void *zmq;
+  void *stop;
+  pthread_t thread;
+  char key[41];
+};
+
+static void
+set_int (void *socket, int option, int value)
+{
+  zmq_setsockopt (socket, option, &value, sizeof value);
+}
+
+static void
+set_common (void *socket)
+{
+  set_int (socket, ZMQ_LINGER, 0);
+  set_int (socket, ZMQ_SNDHWM, SEND_QUEUE);
+  set_int (socket, ZMQ_RCVHWM, SEND_QUEUE);
+  set_int (socket, ZMQ_HEARTBEAT_IVL, PING_MS);
+  set_int (socket, ZMQ_HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS);
+  set_int (socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+  set_int (socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+}
+
+/* Receiving happens in cfs_net_pump(); the watch only ends the wait. */
+static void
+wake (void *ctx, int events)
+{
+  (void)ctx;
+  (void)events;
+}
+
+static int
+watch_socket (struct cfs_net *n, void *socket)
+{
+  int fd;
+  size_t len = sizeof fd;
+
+  zmq_getsockopt (socket, ZMQ_FD, &fd, &len);
+  return cfs_loop_add (n->loop, fd, LOOP_READ, wake, n);
+}
+
+static bool
+open_router (struct cfs_net *n)
+{
+  char endpoint[ENDPOINT_MAX];
+
+  if (n->setup.port == 0)
+    return true;
+  n->router = zmq_socket (n->setup.zmq, ZMQ_ROUTER);
+  set_common (n->router);
+  set_int (n->router, ZMQ_CURVE_SERVER, 1);
+  zmq_setsockopt (n->router, ZMQ_CURVE_SECRETKEY, n->setup.secret_key,
+                  strlen (n->setup.secret_key));
+  snprintf (endpoint, sizeof endpoint, "tcp://%s:%u", n->setup.address,
+            n->setup.port);
+  if (zmq_bind (n->router, endpoint) != 0)
+    return false;
+  n->watch = watch_socket (n, n->router);
+  return true;
+}
+
+struct cfs_net *
+cfs_net_new (const struct cfs_net_setup *setup, struct cfs_loop *loop)
+{
+  struct cfs_net *n = cfs_alloc (sizeof *n);
+
+  n->setup = *setup;
+  n->loop = loop;
+  if (open_router (n))
+    return n;
+  cfs_net_free (n);
+  return NULL;
+}
+
+void
+cfs_net_free (struct cfs_net *n)
+{
+  if (!n)
+    return;
+  for (size_t i = 0; i < n->count; i++)
+    {
+      cfs_loop_remove (n->loop, n->links[i].watch);
+      zmq_close (n->links[i].socket);
+    }
+  if (n->router)
+    {
+      cfs_loop_remove (n->loop, n->watch);
+      zmq_close (n->router);
+    }
+  free (n->links);
+  free (n);
+}
+
+static struct link *
+find_link (struct cfs_net *n, const char *address, uint32_t port)
+{
+  char endpoint[ENDPOINT_MAX];
+  struct link *l;
+
+  snprintf (endpoint, sizeof endpoint, "tcp://%s:%u", address, port);
+  for (size_t i = 0; i < n->count; i++)
+    if (strcmp (n->links[i].endpoint, endpoint) == 0)
+      return &n->links[i];
+  cfs_grow (&n->links, &n->cap, n->count, sizeof *n->links);
+  l = &n->links[n->count++];
+  cfs_copy (l->endpoint, sizeof l->endpoint, endpoint);
+  l->socket = zmq_socket (n->setup.zmq, ZMQ_DEALER);
+  set_common (l->socket);
+  set_int (l->socket, ZMQ_IMMEDIATE, 1);
+  zmq_setsockopt (l->socket, ZMQ_CURVE_SERVERKEY, n->setup.public_key,
+                  strlen (n->setup.public_key));
+  zmq_setsockopt (l->socket, ZMQ_CURVE_PUBLICKEY, n->setup.public_key,
+                  strlen (n->setup.public_key));
+  zmq_setsockopt (l->socket, ZMQ_CURVE_SECRETKEY, n->setup.secret_key,
+                  strlen (n->setup.secret_key));
+  zmq_connect (l->socket, endpoint);
+  l->watch = watch_socket (n, l->socket);
+  return l;
+}
+
+static int
+send_packed (void *socket, const Cfs__Peer *msg)
+{
+  zmq_msg_t out;
+
+  zmq_msg_init_size (&out, cfs__peer__get_packed_size (msg));
+  cfs__peer__pack (msg, zmq_msg_data (&out));
+  if (zmq_msg_send (&out, socket, ZMQ_DONTWAIT) >= 0)
+    return CFS_OK;
+  zmq_msg_close (&out);
+  return CFS_AGAIN;
+}
+
+int
+cfs_net_send (struct cfs_net *n, const char *address, uint32_t port,
+              const Cfs__Peer *msg)
+{
+  return send_packed (find_link (n, address, port)->socket, msg);
+}
+
+void
+cfs_net_reply (struct cfs_net *n, const struct cfs_origin *to,
+               const Cfs__Peer *msg)
+{
+  if (zmq_send (n->router, to->identity, to->len, ZMQ_DONTWAIT | ZMQ_SNDMORE)
+      >= 0)
+    send_packed (n->router, msg);
+}
+
+static void
+deliver (struct cfs_net *n, const struct cfs_origin *from, zmq_msg_t *msg)
+{
+  Cfs__Peer *peer
+      = cfs__peer__unpack (NULL, zmq_msg_size (msg), zmq_msg_data (msg));
+
+  if (!peer)
+    return;
+  n->setup.receive (n->setup.ctx, from, peer);
+  cfs__peer__free_unpacked (peer, NULL);
+}
+
+static bool
+receive_routed (struct cfs_net *n)
+{
+  struct cfs_origin from;
+  zmq_msg_t msg;
+  int len = zmq_recv (n->router, from.identity, sizeof from.identity,
+                      ZMQ_DONTWAIT);
+
+  if (len < 0)
+    return false;
+  from.len = (size_t)len < sizeof from.identity ? (size_t)len
+                                                : sizeof from.identity;
+  zmq_msg_init (&msg);
+  if (zmq_msg_recv (&msg, n->router, ZMQ_DONTWAIT) >= 0)
+    deliver (n, &from, &msg);
+  zmq_msg_close (&msg);
+  return true;
+}
+
+static bool
+receive_reply (struct cfs_net *n, size_t link)
+{
+  zmq_msg_t msg;
+  bool got;
+
+  zmq_msg_init (&msg);
+  got = zmq_msg_recv (&msg, n->links[link].socket, ZMQ_DONTWAIT) >= 0;
+  if (got)
+    deliver (n, NULL, &msg);
+  zmq_msg_close (&msg);
+  return got;
+}
+
+void
+cfs_net_pump (struct cfs_net *n)
+{
+  while (n->router && receive_routed (n))
+    continue;
+  for (size_t i = 0; i < n->count; i++)
+    while (receive_reply (n, i))
+      continue;
+}
+
+/* One question of the protocol "ZAP" (ZeroMQ RFC 27): frames version,
+   request id, domain, address, identity, mechanism, key. */
+static void
+answer_guard (struct cfs_net_guard *g, void *zap)
+{
+  enum
+  {
+    FRAMES = 7,
+    FRAME_MAX = 256,
+    KEY_BYTES = 32
+  };
+  char frames[FRAMES][FRAME_MAX];
+  int lens[FRAMES];
+  char key[41] = "";
+  int count = 0;
+  int more = 1;
+  size_t size = sizeof more;
+  bool ok;
+
+  while (more)
+    {
+      char spare[FRAME_MAX];
+      char *to = count < FRAMES ? frames[count] : spare;
+      int len = zmq_recv (zap, to, FRAME_MAX, 0);
+
+      if (len < 0)
+        return;
+      if (count < FRAMES)
+        lens[count++] = len < FRAME_MAX ? len : FRAME_MAX;
+      zmq_getsockopt (zap, ZMQ_RCVMORE, &more, &size);
+    }
+  if (count > 6 && lens[6] == KEY_BYTES)
+    zmq_z85_encode (key, (uint8_t *)frames[6], KEY_BYTES);
+  ok = count == FRAMES && strcmp (key, g->key) == 0;
+  zmq_send (zap, "1.0", 3, ZMQ_SNDMORE);
+  zmq_send (zap, frames[1], count > 1 ? (size_t)lens[1] : 0, ZMQ_SNDMORE);
+  zmq_send (zap, ok ? "200" : "400", 3, ZMQ_SNDMORE);
+  zmq_send (zap, ok ? "OK" : "unknown key", ok ? 2 : 11, ZMQ_SNDMORE);
+  zmq_send (zap, ok ? "host" : "", ok ? 4 : 0, ZMQ_SNDMORE);
+  zmq_send (zap, "", 0, 0);
+}
+
+static void *
+guard_main (void *arg)
+{
+  struct cfs_net_guard *g = arg;
+  void *zap = zmq_socket (g->zmq, ZMQ_REP);
+  void *stop = zmq_socket (g->zmq, ZMQ_PAIR);
+  zmq_pollitem_t items[2]
+      = { { zap, 0, ZMQ_POLLIN, 0 }, { stop, 0, ZMQ_POLLIN, 0 } };
+
+  zmq_bind (zap, GUARD_ENDPOINT);
+  zmq_connect (stop, GUARD_STOP);
+  zmq_send (stop, "", 0, 0);
+  while (zmq_poll (items, 2, -1) >= 0 && !(items[1].revents & ZMQ_POLLIN))
+    if (items[0].revents & ZMQ_POLLIN)
+      answer_guard (g, zap);
+  zmq_close (zap);
+  zmq_close (stop);
+  return NULL;
+}
+
+struct cfs_net_guard *
+cfs_net_guard_new (void *zmq, const char *public_key)
+{
+  struct cfs_net_guard *g = cfs_alloc (sizeof *g);
+
+  g->zmq = zmq;
+  cfs_copy (g->key, sizeof g->key, public_key);
+  g->stop = zmq_socket (zmq, ZMQ_PAIR);
+  zmq_bind (g->stop, GUARD_STOP);
+  if (pthread_create (&g->thread, NULL, guard_main, g) != 0)
+    {
+      zmq_close (g->stop);
+      free (g);
+      return NULL;
+    }
+  zmq_recv (g->stop, NULL, 0, 0);
+  return g;
+}
+
+void
+cfs_net_guard_free (struct cfs_net_guard *g)
+{
+  if (!g)
+    return;
+  zmq_send (g->stop, "", 0, 0);
+  pthread_join (g->thread, NULL);
+  zmq_close (g->stop);
+  free (g);
+}
--- /dev/null
+++ b/src/process/node.c
@@ -0,0 +1,219 @@
+/*
+ * The control thread runs the agent and, on a control host, the replicated
+ * log; it never waits for traffic, so a busy host keeps its lease.  The main
+ * thread carries traffic.  They exchange packed messages over one pair.
+ */
+#include "node.h"
+
+#include "agent.h"
+#include "control.h"
+#include "log.h"
+#include "loop.h"
+#include "net.h"
+#include "traffic.h"
+
+#include <apr_general.h>
+#include <apr_thread_proc.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <zmq.h>
+
+#define PART "node"
+#define TICK_US (5 * CFS_US_PER_MS)
+
+struct node
+{
+  const struct cfs_settings *settings;
+  void *zmq;
+  void *pair;
+  struct cfs_net_guard *guard;
+  struct cfs_loop *loop;
+  struct cfs_control *control;
+  struct cfs_agent *agent;
+  apr_pool_t *pool;
+  volatile bool stop;
+  uint64_t boot;
+};
+
+static volatile bool stop_requested;
+
+static void
+on_signal (int sig)
+{
+  (void)sig;
+  stop_requested = true;
+}
+
+static void
+to_traffic (struct node *n, const Cfs__Peer *msg)
+{
+  size_t len = cfs__peer__get_packed_size (msg);
+  uint8_t *data = cfs_alloc (len);
+
+  cfs__peer__pack (msg, data);
+  zmq_send (n->pair, data, len, ZMQ_DONTWAIT);
+  free (data);
+}
+
+static void
+on_renewed (void *ctx, Cfs__HeartbeatReply *reply)
+{
+  Cfs__Peer out = CFS__PEER__INIT;
+
+  out.body_case = CFS__PEER__BODY_REPLY;
+  out.reply = reply;
+  to_traffic (ctx, &out);
+}
+
+static void
+on_called (void *ctx, Cfs__OperatorReply *reply)
+{
+  Cfs__Peer out = CFS__PEER__INIT;
+
+  out.body_case = CFS__PEER__BODY_CALLED;
+  out.called = reply;
+  to_traffic (ctx, &out);
+}
+
+static const struct cfs_agent_ops agent_ops = { on_renewed, on_called };
+
+static void
+pump_pair (struct node *n)
+{
+  zmq_msg_t msg;
+
+  zmq_msg_init (&msg);
+  while (zmq_msg_recv (&msg, n->pair, ZMQ_DONTWAIT) >= 0)
+    {
+      Cfs__Peer *peer
+          = cfs__peer__unpack (NULL, zmq_msg_size (&msg), zmq_msg_data (&msg));
+
+      if (peer && peer->body_case == CFS__PEER__BODY_HEARTBEAT)
+        cfs_agent_report (n->agent, peer);
+      else if (peer && peer->body_case == CFS__PEER__BODY_CALL)
+        cfs_agent_call (n->agent, peer, cfs_now ());
+      else if (peer)
+        cfs__peer__free_unpacked (peer, NULL);
+    }
+  zmq_msg_close (&msg);
+}
+
+static void *APR_THREAD_FUNC
+control_main (apr_thread_t *thread, void *arg)
+{
+  struct node *n = arg;
+
+  (void)thread;
+  while (!n->stop)
+    {
+      int64_t now;
+
+      pump_pair (n);
+      cfs_agent_pump (n->agent);
+      if (n->control)
+        cfs_control_pump (n->control);
+      cfs_loop_poll (n->loop, TICK_US);
+      now = cfs_now ();
+      cfs_agent_tick (n->agent, now);
+      if (n->control)
+        cfs_control_tick (n->control, now);
+    }
+  return NULL;
+}
+
+static void
+wake (void *ctx, int events)
+{
+  (void)ctx;
+  (void)events;
+}
+
+static void
+open_pair (struct node *n)
+{
+  int fd;
+  int linger = 0;
+  size_t len = sizeof fd;
+
+  n->pair = zmq_socket (n->zmq, ZMQ_PAIR);
+  zmq_setsockopt (n->pair, ZMQ_LINGER, &linger, sizeof linger);
+  zmq_bind (n->pair, TRAFFIC_ENDPOINT);
+  zmq_getsockopt (n->pair, ZMQ_FD, &fd, &len);
+  cfs_loop_add (n->loop, fd, LOOP_READ, wake, n);
+}
+
+static bool
+open_control (struct node *n, GError **error)
+{
+  if (!cfs_settings_is_control (n->settings))
+    {
+      cfs_log (CFS_NOTICE, PART, "no disk is used: nothing is kept here");
+      return true;
+    }
+  n->control = cfs_control_new (n->settings, n->zmq, n->loop, error);
+  return n->control != NULL;
+}
+
+static void
+end_node (struct node *n)
+{
+  cfs_agent_free (n->agent);
+  cfs_control_free (n->control);
+  if (n->pair)
+    zmq_close (n->pair);
+  cfs_net_guard_free (n->guard);
+  zmq_ctx_term (n->zmq);
+  apr_pool_destroy (n->pool);
+}
+
+static bool
+serve (struct node *n, GError **error)
+{
+  struct cfs_traffic *traffic
+      = cfs_traffic_new (n->settings, n->boot, n->zmq, error);
+  apr_thread_t *thread;
+  apr_status_t rc;
+
+  if (!traffic)
+    return false;
+  if (apr_thread_create (&thread, NULL, control_main, n, n->pool)
+      != APR_SUCCESS)
+    {
+      cfs_traffic_free (traffic);
+      return false;
+    }
+  cfs_traffic_run (traffic, &stop_requested);
+  n->stop = true;
+  apr_thread_join (&rc, thread);
+  cfs_traffic_free (traffic);
+  return true;
+}
+
+bool
+cfs_node_serve (const struct cfs_settings *settings, GError **error)
+{
+  struct node n = { .settings = settings };
+  bool ok;
+
+  signal (SIGPIPE, SIG_IGN);
+  signal (SIGTERM, on_signal);
+  signal (SIGINT, on_signal);
+  apr_initialize ();
+  apr_pool_create (&n.pool, NULL);
+  randombytes_buf (&n.boot, sizeof n.boot);
+  n.zmq = zmq_ctx_new ();
+  n.guard = cfs_net_guard_new (n.zmq, settings->curve_public);
+  n.loop = cfs_loop_new (n.pool);
+  open_pair (&n);
+  ok = open_control (&n, error);
+  if (ok)
+    {
+      n.agent
+          = cfs_agent_new (&agent_ops, &n, settings, n.boot, n.zmq, n.loop);
+      ok = serve (&n, error);
+    }
+  end_node (&n);
+  apr_terminate ();
+  return ok;
+}
--- /dev/null
+++ b/src/process/raft.c
@@ -0,0 +1,1032 @@
+/*
+ * Raft with pre-vote, check-quorum, learners, snapshots and changes of one
+ * member at a time.  It was chosen over primary-backup schemes because the
+ * control group must decide leases without any outside store.
+ *
+ * An append carries the leader's send time and the answer echoes it, so the
+ * leader knows at which of its own times a majority last supported it.  A
+ * voter that heard a leader within RAFT_ELECTION_US supports nobody else,
+ * also right after its own start; so until that time plus RAFT_ELECTION_US,
+ * less drift, no second leader exists.  Leases build on this.
+ */
+#include "raft.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum msg_type
+{
+  MSG_PREVOTE = 1,
+  MSG_PREVOTE_REPLY,
+  MSG_VOTE,
+  MSG_VOTE_REPLY,
+  MSG_APPEND,
+  MSG_APPEND_REPLY,
+  MSG_SNAPSHOT,
+  MSG_JOIN
+};
+
+/* What the leader knows of another member. */
+struct peer
+{
+  uint64_t id;
+  uint64_t next;
+  uint64_t match;
+  int64_t acked_at;
+  int64_t sent_at;
+  bool granted;
+};
+
+struct cfs_raft
+{
+  const struct cfs_raft_ops *ops;
+  void *ctx;
+  uint64_t id;
+  char host[CFS_NAME_MAX];
+  enum cfs_raft_role role;
+  uint64_t term;
+  uint64_t vote;
+  struct cfs_snapshot snap;
+  struct cfs_entry *log;
+  size_t count;
+  size_t cap;
+  uint64_t commit;
+  uint64_t applied;
+  struct cfs_members members;
+  uint64_t members_index;
+  struct peer peers[RAFT_MEMBERS_MAX];
+  uint64_t leader;
+  int64_t heard_at;
+  int64_t election_at;
+  int64_t broadcast_at;
+  int64_t joined_at;
+  uint64_t term_start;
+  uint64_t seed;
+};
+
+static uint64_t
+last_index (const struct cfs_raft *r)
+{
+  return r->snap.index + r->count;
+}
+
+static struct cfs_entry *
+entry_at (const struct cfs_raft *r, uint64_t index)
+{
+  if (index <= r->snap.index || index > last_index (r))
+    return NULL;
+  return &r->log[index - r->snap.index - 1];
+}
+
+static uint64_t
+term_at (const struct cfs_raft *r, uint64_t index)
+{
+  const struct cfs_entry *e = entry_at (r, index);
+
+  if (e)
+    return e->term;
+  return index == r->snap.index ? r->snap.term : 0;
+}
+
+static const struct cfs_member *
+member_by_id (const struct cfs_raft *r, uint64_t id)
+{
+  for (size_t i = 0; i < r->members.count; i++)
+    if (r->members.at[i].id == id)
+      return &r->members.at[i];
+  return NULL;
+}
+
+static bool
+is_voter (const struct cfs_raft *r, uint64_t id)
+{
+  const struct cfs_member *m = member_by_id (r, id);
+
+  return m && m->voter;
+}
+
+static size_t
+majority (const struct cfs_raft *r)
+{
+  size_t voters = 0;
+
+  for (size_t i = 0; i < r->members.count; i++)
+    voters += r->members.at[i].voter;
+  return voters / 2 + 1;
+}
+
+static struct peer *
+peer_of (struct cfs_raft *r, uint64_t id)
+{
+  for (size_t i = 0; i < r->members.count; i++)
+    if (r->members.at[i].id == id)
+      return &r->peers[i];
+  return NULL;
+}
+
+static bool
+unpack_members (const struct cfs_entry *e, struct cfs_members *out)
+{
+  Cfs__Members *m = cfs__members__unpack (NULL, e->len, e->data);
+
+  if (!m || m->n_member > RAFT_MEMBERS_MAX)
+    {
+      if (m)
+        cfs__members__free_unpacked (m, NULL);
+      return false;
+    }
+  out->count = m->n_member;
+  for (size_t i = 0; i < m->n_member; i++)
+    {
+      out->at[i].id = m->member[i]->id;
+      out->at[i].voter = m->member[i]->voter;
+      cfs_copy (out->at[i].host, CFS_NAME_MAX, m->member[i]->host);
+    }
+  cfs__members__free_unpacked (m, NULL);
+  return true;
+}
+
+static size_t
+pack_members (const struct cfs_members *in, uint8_t **data)
+{
+  Cfs__Member rows[RAFT_MEMBERS_MAX];
+  Cfs__Member *list[RAFT_MEMBERS_MAX];
+  Cfs__Members m = CFS__MEMBERS__INIT;
+  size_t len;
+
+  for (size_t i = 0; i < in->count; i++)
+    {
+      cfs__member__init (&rows[i]);
+      rows[i].id = in->at[i].id;
+      rows[i].host = (char *)in->at[i].host;
+      rows[i].voter = in->at[i].voter;
+      list[i] = &rows[i];
+    }
+  m.n_member = in->count;
+  m.member = list;
+  len = cfs__members__get_packed_size (&m);
+  *data = cfs_alloc (len);
+  cfs__members__pack (&m, *data);
+  return len;
+}
+
+/* Takes over a list of members and keeps what is known of each peer. */
+static void
+set_members (struct cfs_raft *r, const struct cfs_members *members,
+             uint64_t index)
+{
+  struct peer kept[RAFT_MEMBERS_MAX];
+
+  for (size_t i = 0; i < members->count; i++)
+    {
+      struct peer *old = peer_of (r, members->at[i].id);
+
+      memset (&kept[i], 0, sizeof kept[i]);
+      if (old)
+        kept[i] = *old;
+      else
+        kept[i].next = last_index (r) + 1;
+      kept[i].id = members->at[i].id;
+    }
+  memcpy (r->peers, kept, members->count * sizeof kept[0]);
+  r->members = *members;
+  r->members_index = index;
+}
+
+/* Finds the last list of members in the log after a truncation or a start.
+   Invariant of the loop: entries above i hold no list of members. */
+static void
+reload_members (struct cfs_raft *r)
+{
+  struct cfs_members found;
+
+  for (uint64_t i = last_index (r); i > r->snap.index; i--)
+    {
+      const struct cfs_entry *e = entry_at (r, i);
+
+      if (e->kind == CFS_ENTRY_MEMBERS && unpack_members (e, &found))
+        {
+          set_members (r, &found, i);
+          return;
+        }
+    }
+  set_members (r, &r->snap.members, r->snap.index);
+}
+
+static int64_t
+election_delay (struct cfs_raft *r)
+{
+  return RAFT_ELECTION_US
+         + (int64_t)(cfs_random (&r->seed) % (uint64_t)RAFT_ELECTION_US);
+}
+
+static void
+init_msg (const struct cfs_raft *r, Cfs__RaftMsg *m, enum msg_type type,
+          uint64_t to)
+{
+  cfs__raft_msg__init (m);
+  m->type = type;
+  m->from = r->id;
+  m->to = to;
+  m->term = r->term;
+  m->host = (char *)r->host;
+}
+
+static int
+set_term (struct cfs_raft *r, uint64_t term, uint64_t vote)
+{
+  int rc = r->ops->save_vote (r->ctx, term, vote);
+
+  if (rc != CFS_OK)
+    return rc;
+  r->term = term;
+  r->vote = vote;
+  return CFS_OK;
+}
+
+static void
+become_follower (struct cfs_raft *r, uint64_t leader, int64_t now)
+{
+  r->role = RAFT_FOLLOWER;
+  r->leader = leader;
+  r->election_at = now + election_delay (r);
+}
+
+static void
+drop_entries (struct cfs_raft *r, uint64_t from)
+{
+  for (uint64_t i = from; i <= last_index (r); i++)
+    free (entry_at (r, i)->data);
+  r->count = (size_t)(from - r->snap.index - 1);
+}
+
+/* Copies entries behind the end of the log after they are durable. */
+static int
+append_entries (struct cfs_raft *r, struct cfs_entry *entries, size_t count)
+{
+  bool members = false;
+  int rc = r->ops->append (r->ctx, entries, count);
+
+  if (rc != CFS_OK)
+    return rc;
+  for (size_t i = 0; i < count; i++)
+    {
+      struct cfs_entry *e;
+
+      cfs_grow (&r->log, &r->cap, r->count, sizeof *r->log);
+      e = &r->log[r->count++];
+      *e = entries[i];
+      e->data = cfs_alloc (e->len);
+      if (e->len)
+        memcpy (e->data, entries[i].data, e->len);
+      members |= e->kind == CFS_ENTRY_MEMBERS;
+    }
+  if (members)
+    reload_members (r);
+  return CFS_OK;
+}
+
+static void
+take_snapshot (struct cfs_raft *r)
+{
+  struct cfs_snapshot s = { .index = r->applied };
+  size_t keep;
+
+  if (r->applied - r->snap.index < RAFT_SNAPSHOT_ENTRIES
+      || r->members_index > r->applied)
+    return;
+  s.term = term_at (r, r->applied);
+  s.members = r->members;
+  s.len = r->ops->image (r->ctx, &s.data);
+  if (r->ops->save_snapshot (r->ctx, &s) != CFS_OK)
+    {
+      free (s.data);
+      return;
+    }
+  keep = (size_t)(last_index (r) - s.index);
+  for (uint64_t i = r->snap.index + 1; i <= s.index; i++)
+    free (entry_at (r, i)->data);
+  memmove (r->log, r->log + (r->count - keep), keep * sizeof *r->log);
+  r->count = keep;
+  free (r->snap.data);
+  r->snap = s;
+}
+
+static void
+apply_committed (struct cfs_raft *r)
+{
+  while (r->applied < r->commit)
+    {
+      const struct cfs_entry *e = entry_at (r, r->applied + 1);
+
+      if (e->kind == CFS_ENTRY_COMMAND)
+        r->ops->apply (r->ctx, e);
+      r->applied++;
+    }
+  take_snapshot (r);
+}
+
+static void
+send_snapshot (struct cfs_raft *r, struct peer *p, int64_t now)
+{
+  Cfs__RaftMsg m;
+  Cfs__RaftEntry members = CFS__RAFT_ENTRY__INIT;
+  Cfs__RaftEntry *list[1] = { &members };
+
+  init_msg (r, &m, MSG_SNAPSHOT, p->id);
+  m.index = r->snap.index;
+  m.log_term = r->snap.term;
+  m.round = (uint64_t)now;
+  m.snapshot.data = r->snap.data;
+  m.snapshot.len = r->snap.len;
+  members.data.len = pack_members (&r->snap.members, &members.data.data);
+  m.entries = list;
+  m.n_entries = 1;
+  r->ops->send (r->ctx, &m);
+  free (members.data.data);
+  p->sent_at = now;
+}
+
+static void
+send_append (struct cfs_raft *r, struct peer *p, int64_t now)
+{
+  Cfs__RaftEntry rows[RAFT_BATCH];
+  Cfs__RaftEntry *list[RAFT_BATCH];
+  Cfs__RaftMsg m;
+
+  if (p->next <= r->snap.index)
+    {
+      send_snapshot (r, p, now);
+      return;
+    }
+  init_msg (r, &m, MSG_APPEND, p->id);
+  m.index = p->next - 1;
+  m.log_term = term_at (r, m.index);
+  m.commit = r->commit;
+  m.round = (uint64_t)now;
+  m.entries = list;
+  for (uint64_t i = p->next; i <= last_index (r) && m.n_entries < RAFT_BATCH;
+       i++)
+    {
+      const struct cfs_entry *e = entry_at (r, i);
+      Cfs__RaftEntry *row = &rows[m.n_entries];
+
+      cfs__raft_entry__init (row);
+      row->index = e->index;
+      row->term = e->term;
+      row->kind = e->kind;
+      row->data.len = e->len;
+      row->data.data = e->data;
+      list[m.n_entries++] = row;
+    }
+  r->ops->send (r->ctx, &m);
+  p->sent_at = now;
+}
+
+static void
+broadcast (struct cfs_raft *r, int64_t now)
+{
+  r->broadcast_at = now + RAFT_HEARTBEAT_US;
+  for (size_t i = 0; i < r->members.count; i++)
+    if (r->peers[i].id != r->id)
+      send_append (r, &r->peers[i], now);
+}
+
+/* The newest of the leader's own times at which a majority supported it. */
+static int64_t
+confirmed_at (const struct cfs_raft *r, int64_t now)
+{
+  int64_t best = INT64_MIN;
+
+  for (size_t i = 0; i < r->members.count; i++)
+    {
+      int64_t t = r->peers[i].id == r->id ? now : r->peers[i].acked_at;
+      size_t count = 0;
+
+      for (size_t j = 0; j < r->members.count; j++)
+        count += r->members.at[j].voter
+                 && (r->peers[j].id == r->id || r->peers[j].acked_at >= t);
+      if (count >= majority (r) && t > best)
+        best = t;
+    }
+  return best;
+}
+
+static void
+advance_commit (struct cfs_raft *r, int64_t now)
+{
+  uint64_t old = r->commit;
+
+  for (uint64_t n = last_index (r); n > r->commit; n--)
+    {
+      size_t count = 0;
+
+      if (term_at (r, n) != r->term)
+        break;
+      for (size_t i = 0; i < r->members.count; i++)
+        count += r->members.at[i].voter
+                 && (r->peers[i].id == r->id || r->peers[i].match >= n);
+      if (count >= majority (r))
+        {
+          r->commit = n;
+          break;
+        }
+    }
+  if (r->commit == old)
+    return;
+  apply_committed (r);
+  broadcast (r, now);
+  if (!is_voter (r, r->id) && r->commit >= r->members_index)
+    become_follower (r, 0, now);
+}
+
+static int
+append_own (struct cfs_raft *r, enum cfs_entry_kind kind, const uint8_t *data,
+            size_t len, int64_t now)
+{
+  struct cfs_entry e = { .index = last_index (r) + 1,
+                         .term = r->term,
+                         .kind = kind,
+                         .len = (uint32_t)len,
+                         .data = (uint8_t *)data };
+  int rc = append_entries (r, &e, 1);
+
+  if (rc != CFS_OK)
+    {
+      become_follower (r, 0, now);
+      return rc;
+    }
+  broadcast (r, now);
+  advance_commit (r, now);
+  return CFS_OK;
+}
+
+static void
+become_leader (struct cfs_raft *r, int64_t now)
+{
+  r->role = RAFT_LEADER;
+  r->leader = r->id;
+  for (size_t i = 0; i < r->members.count; i++)
+    {
+      r->peers[i].next = last_index (r) + 1;
+      r->peers[i].match = 0;
+      r->peers[i].acked_at = now;
+    }
+  r->term_start = last_index (r) + 1;
+  append_own (r, CFS_ENTRY_NOOP, NULL, 0, now);
+}
+
+static void
+ask_votes (struct cfs_raft *r, enum msg_type type, uint64_t term)
+{
+  for (size_t i = 0; i < r->members.count; i++)
+    {
+      Cfs__RaftMsg m;
+
+      r->peers[i].granted = r->peers[i].id == r->id;
+      if (r->peers[i].granted || !r->members.at[i].voter)
+        continue;
+      init_msg (r, &m, type, r->peers[i].id);
+      m.term = term;
+      m.index = last_index (r);
+      m.log_term = term_at (r, m.index);
+      r->ops->send (r->ctx, &m);
+    }
+}
+
+static bool
+won (const struct cfs_raft *r)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < r->members.count; i++)
+    count += r->members.at[i].voter && r->peers[i].granted;
+  return count >= majority (r);
+}
+
+static void
+start_vote (struct cfs_raft *r, int64_t now)
+{
+  r->election_at = now + election_delay (r);
+  if (set_term (r, r->term + 1, r->id) != CFS_OK)
+    {
+      become_follower (r, 0, now);
+      return;
+    }
+  r->role = RAFT_CANDIDATE;
+  ask_votes (r, MSG_VOTE, r->term);
+  if (won (r))
+    become_leader (r, now);
+}
+
+static void
+start_prevote (struct cfs_raft *r, int64_t now)
+{
+  r->role = RAFT_PRECANDIDATE;
+  r->leader = 0;
+  r->election_at = now + election_delay (r);
+  ask_votes (r, MSG_PREVOTE, r->term + 1);
+  if (won (r))
+    start_vote (r, now);
+}
+
+/* A host outside the group asks the leader to be taken in. */
+static void
+send_join (struct cfs_raft *r, int64_t now)
+{
+  r->joined_at = now + RAFT_ELECTION_US;
+  for (size_t i = 0; i < r->members.count; i++)
+    {
+      Cfs__RaftMsg m;
+
+      if (r->members.at[i].id == r->id)
+        continue;
+      init_msg (r, &m, MSG_JOIN, r->members.at[i].id);
+      r->ops->send (r->ctx, &m);
+    }
+}
+
+static int
+change_members (struct cfs_raft *r, const struct cfs_members *next,
+                int64_t now)
+{
+  uint8_t *data;
+  size_t len = pack_members (next, &data);
+  int rc = append_own (r, CFS_ENTRY_MEMBERS, data, len, now);
+
+  free (data);
+  return rc;
+}
+
+static bool
+may_change (const struct cfs_raft *r)
+{
+  return r->role == RAFT_LEADER && r->commit >= r->term_start
+         && r->members_index <= r->commit;
+}
+
+static bool
+learner_exists (const struct cfs_raft *r)
+{
+  for (size_t i = 0; i < r->members.count; i++)
+    if (!r->members.at[i].voter)
+      return true;
+  return false;
+}
+
+/* A new identity of a known host first pushes out the old one, then comes in
+   as a learner; each step waits until the one before is committed, and no
+   second repair starts while a learner is there. */
+static void
+on_join (struct cfs_raft *r, const Cfs__RaftMsg *m, int64_t now)
+{
+  struct cfs_members next = r->members;
+  size_t i;
+
+  if (!may_change (r) || member_by_id (r, m->from))
+    return;
+  for (i = 0; i < next.count; i++)
+    if (strcmp (next.at[i].host, m->host) == 0)
+      break;
+  if (learner_exists (r) && (i == next.count || next.at[i].voter))
+    return;
+  if (i < next.count)
+    {
+      next.at[i] = next.at[next.count - 1];
+      next.count--;
+    }
+  else if (next.count < RAFT_MEMBERS_MAX)
+    {
+      next.at[next.count].id = m->from;
+      next.at[next.count].voter = false;
+      cfs_copy (next.at[next.count].host, CFS_NAME_MAX, m->host);
+      next.count++;
+    }
+  change_members (r, &next, now);
+}
+
+static void
+promote_learners (struct cfs_raft *r, int64_t now)
+{
+  struct cfs_members next = r->members;
+
+  if (!may_change (r))
+    return;
+  for (size_t i = 0; i < next.count; i++)
+    {
+      const struct peer *p = &r->peers[i];
+
+      if (next.at[i].voter || p->match < r->commit
+          || now - p->acked_at > RAFT_ELECTION_US)
+        continue;
+      next.at[i].voter = true;
+      change_members (r, &next, now);
+      return;
+    }
+}
+
+static bool
+log_is_current (const struct cfs_raft *r, const Cfs__RaftMsg *m)
+{
+  uint64_t term = term_at (r, last_index (r));
+
+  if (m->log_term != term)
+    return m->log_term > term;
+  return m->index >= last_index (r);
+}
+
+static bool
+heard_recently (const struct cfs_raft *r, int64_t now)
+{
+  return r->role == RAFT_LEADER || now - r->heard_at < RAFT_ELECTION_US;
+}
+
+static void
+on_prevote (struct cfs_raft *r, const Cfs__RaftMsg *m, int64_t now)
+{
+  Cfs__RaftMsg reply;
+
+  init_msg (r, &reply, MSG_PREVOTE_REPLY, m->from);
+  reply.reject = heard_recently (r, now) || m->term <= r->term
+                 || !log_is_current (r, m);
+  reply.term = reply.reject ? r->term : m->term;
+  r->ops->send (r->ctx, &reply);
+}
+
+static void
+on_vote (struct cfs_raft *r, const Cfs__RaftMsg *m, int64_t now)
+{
+  Cfs__RaftMsg reply;
+  bool grant;
+
+  if (heard_recently (r, now) || !is_voter (r, m->from))
+    return;
+  if (m->term > r->term && set_term (r, m->term, 0) == CFS_OK)
+    become_follower (r, 0, now);
+  grant = m->term == r->term && (r->vote == 0 || r->vote == m->from)
+          && log_is_current (r, m);
+  if (grant && r->vote == 0 && set_term (r, r->term, m->from) != CFS_OK)
+    return;
+  if (grant)
+    r->election_at = now + election_delay (r);
+  init_msg (r, &reply, MSG_VOTE_REPLY, m->from);
+  reply.reject = !grant;
+  r->ops->send (r->ctx, &reply);
+}
+
+static void
+on_vote_reply (struct cfs_raft *r, const Cfs__RaftMsg *m, int64_t now)
+{
+  bool pre = m->type == MSG_PREVOTE_REPLY;
+  struct peer *p = peer_of (r, m->from);
+
+  if (m->reject && m->term > r->term)
+    {
+      if (set_term (r, m->term, 0) == CFS_OK)
+        become_follower (r, 0, now);
+      return;
+    }
+  if (!p || m->reject)
+    return;
+  if (pre && (r->role != RAFT_PRECANDIDATE || m->term != r->term + 1))
+    return;
+  if (!pre && (r->role != RAFT_CANDIDATE || m->term != r->term))
+    return;
+  p->granted = true;
+  if (!won (r))
+    return;
+  if (pre)
+    start_vote (r, now);
+  else
+    become_leader (r, now);
+}
+
+static void
+reply_append (struct cfs_raft *r, const Cfs__RaftMsg *m, bool reject,
+              uint64_t index)
+{
+  Cfs__RaftMsg reply;
+
+  init_msg (r, &reply, MSG_APPEND_REPLY, m->from);
+  reply.reject = reject;
+  reply.index = index;
+  reply.hint = last_index (r);
+  reply.round = m->round;
+  r->ops->send (r->ctx, &reply);
+}
+
+/* Accepts the sender as leader of its term.  Returns false for a stale one. */
+static bool
+follow (struct cfs_raft *r, const Cfs__RaftMsg *m, int64_t now)
+{
+  if (m->term < r->term)
+    {
+      reply_append (r, m, true, 0);
+      return false;
+    }
+  if (m->term > r->term && set_term (r, m->term, 0) != CFS_OK)
+    return false;
+  become_follower (r, m->from, now);
+  r->heard_at = now;
+  return true;
+}
+
+/* Appends what is new.  Invariant of the first loop: entries before i are
+   in the log already with the same term. */
+static int
+store_entries (struct cfs_raft *r, const Cfs__RaftMsg *m)
+{
+  struct cfs_entry fresh[RAFT_BATCH];
+  size_t i = 0;
+  size_t n = 0;
+
+  while (i < m->n_entries
+         && (m->entries[i]->index <= r->snap.index
+             || term_at (r, m->entries[i]->index) == m->entries[i]->term))
+    i++;
+  if (i == m->n_entries)
+    return CFS_OK;
+  if (m->n_entries - i > RAFT_BATCH || m->entries[i]->index <= r->commit)
+    return CFS_BAD;
+  if (m->entries[i]->index <= last_index (r))
+    {
+      int rc = r->ops->truncate (r->ctx, m->entries[i]->index);
+
+      if (rc != CFS_OK)
+        return rc;
+      drop_entries (r, m->entries[i]->index);
+      reload_members (r);
+    }
+  for (; i < m->n_entries; i++, n++)
+    {
+      if (m->entries[i]->index != last_index (r) + 1 + n)
+        return CFS_BAD;
+      fresh[n].index = m->entries[i]->index;
+      fresh[n].term = m->entries[i]->term;
+      fresh[n].kind = m->entries[i]->kind;
+      fresh[n].len = (uint32_t)m->entries[i]->data.len;
+      fresh[n].data = m->entries[i]->data.data;
+    }
+  return append_entries (r, fresh, n);
+}
+
+static void
+on_append (struct cfs_raft *r, const Cfs__RaftMsg *m, int64_t now)
+{
+  uint64_t match = m->index + m->n_entries;
+
+  if (!follow (r, m, now))
+    return;
+  if (m->index > last_index (r)
+      || (m->index >= r->snap.index && term_at (r, m->index) != m->log_term))
+    {
+      reply_append (r, m, true, m->index);
+      return;
+    }
+  if (store_entries (r, m) != CFS_OK)
+    return;
+  if (m->commit > r->commit)
+    {
+      uint64_t limit = m->commit < match ? m->commit : match;
+
+      if (limit > r->commit)
+        r->commit = limit;
+      apply_committed (r);
+    }
+  reply_append (r, m, false, match);
+}
+
+static void
+on_snapshot (struct cfs_raft *r, const Cfs__RaftMsg *m, int64_t now)
+{
+  struct cfs_snapshot s = { .index = m->index, .term = m->log_term };
+  struct cfs_entry members;
+
+  if (!follow (r, m, now) || m->n_entries != 1)
+    return;
+  if (m->index <= r->commit)
+    {
+      reply_append (r, m, false, r->commit);
+      return;
+    }
+  if (term_at (r, m->index) == m->log_term)
+    {
+      r->commit = m->index;
+      apply_committed (r);
+      reply_append (r, m, false, m->index);
+      return;
+    }
+  members.len = (uint32_t)m->entries[0]->data.len;
+  members.data = m->entries[0]->data.data;
+  if (!unpack_members (&members, &s.members))
+    return;
+  s.len = m->snapshot.len;
+  s.data = cfs_alloc (s.len);
+  if (s.len)
+    memcpy (s.data, m->snapshot.data, s.len);
+  if (r->ops->save_snapshot (r->ctx, &s) != CFS_OK
+      || r->ops->truncate (r->ctx, s.index + 1) != CFS_OK)
+    {
+      free (s.data);
+      return;
+    }
+  drop_entries (r, r->snap.index + 1);
+  free (r->snap.data);
+  r->snap = s;
+  r->commit = s.index;
+  r->applied = s.index;
+  reload_members (r);
+  r->ops->restore (r->ctx, s.data, s.len);
+  reply_append (r, m, false, s.index);
+}
+
+static void
+on_append_reply (struct cfs_raft *r, const Cfs__RaftMsg *m, int64_t now)
+{
+  struct peer *p = peer_of (r, m->from);
+
+  if (m->term > r->term)
+    {
+      if (set_term (r, m->term, 0) == CFS_OK)
+        become_follower (r, 0, now);
+      return;
+    }
+  if (r->role != RAFT_LEADER || m->term != r->term || !p)
+    return;
+  if ((int64_t)m->round > p->acked_at && (int64_t)m->round <= now)
+    p->acked_at = (int64_t)m->round;
+  if (m->reject)
+    {
+      uint64_t next = m->hint + 1 < m->index ? m->hint + 1 : m->index;
+
+      if (next <= p->match)
+        return;
+      p->next = next ? next : 1;
+      send_append (r, p, now);
+      return;
+    }
+  if (m->index > last_index (r))
+    return;
+  if (m->index > p->match)
+    p->match = m->index;
+  if (p->next <= p->match)
+    p->next = p->match + 1;
+  advance_commit (r, now);
+  if (r->role == RAFT_LEADER && p->next <= last_index (r))
+    send_append (r, p, now);
+  promote_learners (r, now);
+}
+
+struct cfs_raft *
+cfs_raft_new (const struct cfs_raft_ops *ops, void *ctx,
+              struct cfs_raft_boot *boot, const char *host, int64_t now)
+{
+  struct cfs_raft *r = cfs_alloc (sizeof *r);
+
+  r->ops = ops;
+  r->ctx = ctx;
+  r->id = boot->id;
+  cfs_copy (r->host, sizeof r->host, host);
+  r->term = boot->term;
+  r->vote = boot->vote;
+  r->snap = boot->snapshot;
+  r->log = boot->entries;
+  r->count = boot->count;
+  r->cap = boot->count;
+  r->commit = r->snap.index;
+  r->applied = r->snap.index;
+  r->seed = boot->seed ? boot->seed : 1;
+  r->heard_at = now;
+  reload_members (r);
+  become_follower (r, 0, now);
+  if (r->snap.len)
+    ops->restore (ctx, r->snap.data, r->snap.len);
+  return r;
+}
+
+void
+cfs_raft_free (struct cfs_raft *r)
+{
+  if (!r)
+    return;
+  drop_entries (r, r->snap.index + 1);
+  free (r->log);
+  free (r->snap.data);
+  free (r);
+}
+
+void
+cfs_raft_tick (struct cfs_raft *r, int64_t now)
+{
+  if (!member_by_id (r, r->id) && now >= r->joined_at)
+    send_join (r, now);
+  if (r->role == RAFT_LEADER)
+    {
+      if (now - confirmed_at (r, now) > RAFT_ELECTION_US)
+        become_follower (r, 0, now);
+      else if (now >= r->broadcast_at)
+        broadcast (r, now);
+      return;
+    }
+  if (now < r->election_at || !is_voter (r, r->id))
+    return;
+  start_prevote (r, now);
+}
+
+void
+cfs_raft_receive (struct cfs_raft *r, const Cfs__RaftMsg *m, int64_t now)
+{
+  if (m->to != r->id && m->type != MSG_JOIN)
+    return;
+  switch (m->type)
+    {
+    case MSG_PREVOTE:
+      on_prevote (r, m, now);
+      break;
+    case MSG_VOTE:
+      on_vote (r, m, now);
+      break;
+    case MSG_PREVOTE_REPLY:
+    case MSG_VOTE_REPLY:
+      on_vote_reply (r, m, now);
+      break;
+    case MSG_APPEND:
+      on_append (r, m, now);
+      break;
+    case MSG_APPEND_REPLY:
+      on_append_reply (r, m, now);
+      break;
+    case MSG_SNAPSHOT:
+      on_snapshot (r, m, now);
+      break;
+    case MSG_JOIN:
+      on_join (r, m, now);
+      break;
+    default:
+      break;
+    }
+}
+
+int
+cfs_raft_propose (struct cfs_raft *r, const uint8_t *data, size_t len,
+                  int64_t now, uint64_t *index)
+{
+  if (r->role != RAFT_LEADER)
+    return CFS_NOT_LEADER;
+  if (index)
+    *index = last_index (r) + 1;
+  return append_own (r, CFS_ENTRY_COMMAND, data, len, now);
+}
+
+enum cfs_raft_role
+cfs_raft_role (const struct cfs_raft *r)
+{
+  return r->role;
+}
+
+uint64_t
+cfs_raft_term (const struct cfs_raft *r)
+{
+  return r->term;
+}
+
+uint64_t
+cfs_raft_commit (const struct cfs_raft *r)
+{
+  return r->commit;
+}
+
+uint64_t
+cfs_raft_last (const struct cfs_raft *r)
+{
+  return last_index (r);
+}
+
+const struct cfs_members *
+cfs_raft_members (const struct cfs_raft *r)
+{
+  return &r->members;
+}
+
+const char *
+cfs_raft_leader (const struct cfs_raft *r)
+{
+  const struct cfs_member *m = member_by_id (r, r->leader);
+
+  return m ? m->host : "";
+}
+
+bool
+cfs_raft_ready (const struct cfs_raft *r, int64_t now)
+{
+  int64_t window = RAFT_ELECTION_US * (100 - RAFT_DRIFT_PERCENT) / 100;
+
+  return r->role == RAFT_LEADER && r->commit >= r->term_start
+         && now - confirmed_at (r, now) < window;
+}
+
+const struct cfs_entry *
+cfs_raft_find (const struct cfs_raft *r, uint64_t index)
+{
+  return entry_at (r, index);
+}
--- /dev/null
+++ b/src/process/settings.c
@@ -0,0 +1,206 @@
+/*
+ * The table of fields is the whole description of the file: names, types,
+ * ranges and units.  Cross checks between fields follow it.
+ */
+#include "settings.h"
+
+#include "../version/schema.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HASH_HEX_CHARS (2 * CFS_HASH_BYTES)
+#define MAX_BODY_BYTES 1048576
+#define STOP_SECONDS 20
+
+#define END_ROW                                                               \
+  {                                                                           \
+    NULL, FIELD_BOOL, 0, 0, NULL, false, NULL                                 \
+  }
+
+static const struct cfs_field peer_fields[]
+    = { { "host", FIELD_NAME, 1, 48, NULL, true, NULL },
+        { "address", FIELD_ADDRESS, 0, 0, NULL, true, NULL },
+        { "port", FIELD_INTEGER, 1, 65535, NULL, true, NULL },
+        END_ROW };
+
+static const struct cfs_field curve_fields[]
+    = { { "public", FIELD_STRING, CURVE_KEY_CHARS, CURVE_KEY_CHARS, NULL, true,
+          NULL },
+        { "secret", FIELD_STRING, CURVE_KEY_CHARS, CURVE_KEY_CHARS, NULL, true,
+          NULL },
+        END_ROW };
+
+static const struct cfs_field target_fields[]
+    = { { "user", FIELD_NAME, 1, 48, NULL, true, NULL },
+        { "database", FIELD_NAME, 1, 48, NULL, true, NULL },
+        { "password", FIELD_STRING, 0, 256, NULL, false, NULL },
+        END_ROW };
+
+static const struct cfs_field tls_fields[]
+    = { { "certificate_file", FIELD_STRING, 1, 4096, NULL, true, NULL },
+        { "key_file", FIELD_STRING, 1, 4096, NULL, true, NULL },
+        END_ROW };
+
+static const struct cfs_field settings_fields[]
+    = { { "host", FIELD_NAME, 1, 48, NULL, true, NULL },
+        { "zone", FIELD_NAME, 1, 48, NULL, true, NULL },
+        { "address", FIELD_ADDRESS, 0, 0, NULL, true, NULL },
+        { "http_port", FIELD_INTEGER, 1, 65535, NULL, true, NULL },
+        { "control_port", FIELD_INTEGER, 1, 65535, NULL, false, NULL },
+        { "traffic_port", FIELD_INTEGER, 1, 65535, NULL, true, NULL },
+        { "data_folder", FIELD_STRING, 1, 4096, NULL, false, NULL },
+        { "curve", FIELD_OBJECT, 0, 0, NULL, true, curve_fields },
+        { "operator_key_hash", FIELD_HEX, HASH_HEX_CHARS, HASH_HEX_CHARS, NULL,
+          true, NULL },
+        { "announce_key_hash", FIELD_HEX, HASH_HEX_CHARS, HASH_HEX_CHARS, NULL,
+          true, NULL },
+        { "target", FIELD_OBJECT, 0, 0, NULL, true, target_fields },
+        { "tls", FIELD_OBJECT, 0, 0, NULL, false, tls_fields },
+        { "max_body_bytes", FIELD_INTEGER, 1024, 16777216, "bytes", false,
+          NULL },
+        { "stop_seconds", FIELD_INTEGER, 1, 600, "s", false, NULL },
+        { "control", FIELD_LIST, 0, 0, NULL, true, peer_fields },
+        END_ROW };
+
+static bool
+fail (GError **error, const char *file, const char *what)
+{
+  g_set_error (error, CFS_SCHEMA_ERROR, 0, "%s: %s", file, what);
+  return false;
+}
+
+static void
+load_hash (const cJSON *doc, const char *name, unsigned char *hash)
+{
+  sodium_hex2bin (hash, CFS_HASH_BYTES, cfs_json_string (doc, name, ""),
+                  HASH_HEX_CHARS, NULL, NULL, NULL);
+}
+
+static char *
+copy_or_null (const cJSON *object, const char *name)
+{
+  const char *text = cfs_json_string (object, name, NULL);
+
+  return text ? cfs_strdup (text) : NULL;
+}
+
+static bool
+load_control (struct cfs_settings *s, const cJSON *doc, const char *file,
+              GError **error)
+{
+  const cJSON *list = cJSON_GetObjectItemCaseSensitive (doc, "control");
+  const cJSON *item;
+  int count = cJSON_GetArraySize (list);
+
+  if (count != 1 && count != 3 && count != 5 && count != 7)
+    return fail (error, file,
+                 "control: found another number of hosts, allowed is 1, 3, 5 "
+                 "or 7");
+  cJSON_ArrayForEach (item, list)
+  {
+    struct cfs_peer *p = &s->control[s->control_count++];
+
+    cfs_copy (p->host, sizeof p->host, cfs_json_string (item, "host", ""));
+    cfs_copy (p->address, sizeof p->address,
+              cfs_json_string (item, "address", ""));
+    p->port = (uint32_t)cfs_json_number (item, "port", 0);
+  }
+  if (cfs_settings_is_control (s) && (!s->data_folder || !s->control_port))
+    return fail (error, file,
+                 "data_folder and control_port: found nothing, a control host "
+                 "needs both");
+  return true;
+}
+
+static void
+load_parts (struct cfs_settings *s, const cJSON *doc)
+{
+  const cJSON *curve = cJSON_GetObjectItemCaseSensitive (doc, "curve");
+  const cJSON *target = cJSON_GetObjectItemCaseSensitive (doc, "target");
+  const cJSON *tls = cJSON_GetObjectItemCaseSensitive (doc, "tls");
+
+  cfs_copy (s->curve_public, sizeof s->curve_public,
+            cfs_json_string (curve, "public", ""));
+  cfs_copy (s->curve_secret, sizeof s->curve_secret,
+            cfs_json_string (curve, "secret", ""));
+  cfs_copy (s->target_user, sizeof s->target_user,
+            cfs_json_string (target, "user", ""));
+  cfs_copy (s->target_database, sizeof s->target_database,
+            cfs_json_string (target, "database", ""));
+  s->target_password = copy_or_null (target, "password");
+  s->tls_certificate = copy_or_null (tls, "certificate_file");
+  s->tls_key = copy_or_null (tls, "key_file");
+}
+
+struct cfs_settings *
+cfs_settings_parse (const char *text, const char *file, GError **error)
+{
+  cJSON *doc = cfs_json_parse (text, file, error);
+  struct cfs_settings *s;
+  bool ok;
+
+  if (!doc || !cfs_schema_check (doc, settings_fields, file, error))
+    {
+      cJSON_Delete (doc);
+      return NULL;
+    }
+  s = cfs_alloc (sizeof *s);
+  cfs_copy (s->host, sizeof s->host, cfs_json_string (doc, "host", ""));
+  cfs_copy (s->zone, sizeof s->zone, cfs_json_string (doc, "zone", ""));
+  cfs_copy (s->address, sizeof s->address,
+            cfs_json_string (doc, "address", ""));
+  s->http_port = (uint32_t)cfs_json_number (doc, "http_port", 0);
+  s->control_port = (uint32_t)cfs_json_number (doc, "control_port", 0);
+  s->traffic_port = (uint32_t)cfs_json_number (doc, "traffic_port", 0);
+  s->data_folder = copy_or_null (doc, "data_folder");
+  s->max_body_bytes
+      = (uint32_t)cfs_json_number (doc, "max_body_bytes", MAX_BODY_BYTES);
+  s->stop_seconds
+      = (uint32_t)cfs_json_number (doc, "stop_seconds", STOP_SECONDS);
+  load_hash (doc, "operator_key_hash", s->operator_hash);
+  load_hash (doc, "announce_key_hash", s->announce_hash);
+  load_parts (s, doc);
+  ok = load_control (s, doc, file, error);
+  cJSON_Delete (doc);
+  if (ok)
+    return s;
+  cfs_settings_free (s);
+  return NULL;
+}
+
+struct cfs_settings *
+cfs_settings_load (const char *path, GError **error)
+{
+  char *text = NULL;
+  struct cfs_settings *s;
+
+  if (!g_file_get_contents (path, &text, NULL, error))
+    return NULL;
+  s = cfs_settings_parse (text, path, error);
+  g_free (text);
+  return s;
+}
+
+void
+cfs_settings_free (struct cfs_settings *s)
+{
+  if (!s)
+    return;
+  free (s->data_folder);
+  free (s->target_password);
+  free (s->tls_certificate);
+  free (s->tls_key);
+  sodium_memzero (s, sizeof *s);
+  free (s);
+}
+
+bool
+cfs_settings_is_control (const struct cfs_settings *s)
+{
+  for (size_t i = 0; i < s->control_count; i++)
+    if (strcmp (s->control[i].host, s->host) == 0)
+      return true;
+  return false;
+}
--- /dev/null
+++ b/src/process/state.c
@@ -0,0 +1,450 @@
+/*
+ * Commands are decided here, at the moment they are applied, and not when
+ * they are proposed: two operators or two leaders may race, and only the
+ * order of the log says who came first.
+ */
+#include "state.h"
+
+#include "../version/conf.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define HTTP_OK 200
+#define HTTP_PRECONDITION 412
+#define HTTP_UNPROCESSABLE 422
+
+static void
+free_version (struct cfs_version *v)
+{
+  free (v->patch);
+  free (v->who);
+  free (v->request_id);
+}
+
+static void
+free_result (struct cfs_patch_result *r)
+{
+  free (r->request_id);
+  free (r->message);
+}
+
+static void
+add_version (struct cfs_state *s, uint64_t number, uint64_t when_ms,
+             const char *patch, const char *who, const char *request_id)
+{
+  struct cfs_version *v;
+
+  if (s->version_count == STATE_VERSIONS_MAX)
+    {
+      free_version (&s->versions[0]);
+      s->version_count--;
+      memmove (s->versions, s->versions + 1,
+               s->version_count * sizeof *s->versions);
+    }
+  cfs_grow (&s->versions, &s->version_cap, s->version_count,
+            sizeof *s->versions);
+  v = &s->versions[s->version_count++];
+  v->number = number;
+  v->when_ms = when_ms;
+  v->patch = cfs_strdup (patch);
+  v->who = cfs_strdup (who);
+  v->request_id = cfs_strdup (request_id);
+}
+
+static void
+add_result (struct cfs_state *s, const char *request_id, uint32_t status,
+            uint64_t version, const char *message)
+{
+  struct cfs_patch_result *r;
+
+  if (s->result_count == STATE_RESULTS_MAX)
+    {
+      free_result (&s->results[0]);
+      s->result_count--;
+      memmove (s->results, s->results + 1,
+               s->result_count * sizeof *s->results);
+    }
+  cfs_grow (&s->results, &s->result_cap, s->result_count, sizeof *s->results);
+  r = &s->results[s->result_count++];
+  r->request_id = cfs_strdup (request_id);
+  r->status = status;
+  r->version = version;
+  r->message = cfs_strdup (message);
+}
+
+static void
+apply_patch (struct cfs_state *s, const Cfs__Patch *p)
+{
+  GError *error = NULL;
+  char *document;
+
+  if (cfs_state_result (s, p->request_id))
+    return;
+  if (p->base_version != s->version)
+    {
+      add_result (s, p->request_id, HTTP_PRECONDITION, s->version,
+                  "the version is stale");
+      return;
+    }
+  document = cfs_conf_patch (s->document, p->patch, &error);
+  if (!document)
+    {
+      add_result (s, p->request_id, HTTP_UNPROCESSABLE, s->version,
+                  error->message);
+      g_error_free (error);
+      return;
+    }
+  free (s->document);
+  s->document = document;
+  s->version++;
+  add_version (s, s->version, p->when_ms, p->patch, p->who, p->request_id);
+  add_result (s, p->request_id, HTTP_OK, s->version, "");
+}
+
+void
+cfs_lease_load (struct cfs_lease *l, const Cfs__Assignment *a)
+{
+  cfs_copy (l->holder, sizeof l->holder, a->holder);
+  cfs_copy (l->address, sizeof l->address, a->address);
+  l->port = a->port;
+  l->boot = a->boot;
+  l->epoch = a->epoch;
+  l->changed = a->changed;
+}
+
+/* An assignment holds only when it follows on the epoch it was made for. */
+static void
+apply_assign (struct cfs_state *s, const Cfs__AssignBatch *batch,
+              uint64_t index)
+{
+  for (size_t i = 0; i < batch->n_assignment; i++)
+    {
+      const Cfs__Assignment *a = batch->assignment[i];
+      struct cfs_lease *l = cfs_table_add (&s->leases, a->resource);
+
+      if (a->epoch != l->epoch + 1)
+        continue;
+      cfs_lease_load (l, a);
+      l->changed = index;
+      s->directory = index;
+    }
+}
+
+static void
+apply_grant (struct cfs_state *s, const Cfs__TermGrant *g, uint64_t index)
+{
+  struct cfs_group *group = cfs_table_find (&s->groups, g->group);
+  char resource[CFS_NAME_MAX] = "gate/";
+  const struct cfs_lease *lease;
+
+  cfs_copy (resource + 5, sizeof resource - 5, g->group);
+  lease = cfs_table_find (&s->leases, resource);
+  if (!group || !lease || lease->epoch != g->epoch)
+    return;
+  if (g->term <= group->term || g->term <= group->granted_term)
+    return;
+  group->granted_term = g->term;
+  group->granted_epoch = g->epoch;
+  group->changed = index;
+  s->directory = index;
+}
+
+/* The first term of a group is taken as announced; each later one must have
+   been granted. */
+static void
+apply_done (struct cfs_state *s, const Cfs__TermDone *d, uint64_t index)
+{
+  struct cfs_group *group = cfs_table_find (&s->groups, d->group);
+
+  if (group && (d->term != group->granted_term || d->term <= group->term))
+    return;
+  if (!group)
+    group = cfs_table_add (&s->groups, d->group);
+  if (group->branch_count == STATE_BRANCHES_MAX)
+    {
+      group->branch_count--;
+      memmove (group->branches, group->branches + 1,
+               group->branch_count * sizeof group->branches[0]);
+    }
+  group->branches[group->branch_count].term = d->term;
+  group->branches[group->branch_count].start = d->start;
+  group->branch_count++;
+  group->term = d->term;
+  group->granted_term = d->term;
+  cfs_copy (group->primary, sizeof group->primary, d->primary);
+  group->changed = index;
+  s->directory = index;
+}
+
+void
+cfs_state_init (struct cfs_state *s)
+{
+  memset (s, 0, sizeof *s);
+  s->document = cfs_strdup ("{}");
+  cfs_table_init (&s->leases, sizeof (struct cfs_lease));
+  cfs_table_init (&s->groups, sizeof (struct cfs_group));
+}
+
+void
+cfs_state_end (struct cfs_state *s)
+{
+  for (size_t i = 0; i < s->version_count; i++)
+    free_version (&s->versions[i]);
+  for (size_t i = 0; i < s->result_count; i++)
+    free_result (&s->results[i]);
+  free (s->versions);
+  free (s->results);
+  free (s->document);
+  cfs_table_end (&s->leases);
+  cfs_table_end (&s->groups);
+}
+
+int
+cfs_state_apply (struct cfs_state *s, const uint8_t *data, size_t len,
+                 uint64_t index)
+{
+  Cfs__Command *c = cfs__command__unpack (NULL, len, data);
+
+  if (!c)
+    return CFS_BAD;
+  switch (c->body_case)
+    {
+    case CFS__COMMAND__BODY_PATCH:
+      apply_patch (s, c->patch);
+      break;
+    case CFS__COMMAND__BODY_ASSIGN:
+      apply_assign (s, c->assign, index);
+      break;
+    case CFS__COMMAND__BODY_GRANT:
+      apply_grant (s, c->grant, index);
+      break;
+    case CFS__COMMAND__BODY_DONE:
+      apply_done (s, c->done, index);
+      break;
+    default:
+      break;
+    }
+  cfs__command__free_unpacked (c, NULL);
+  return CFS_OK;
+}
+
+const struct cfs_patch_result *
+cfs_state_result (const struct cfs_state *s, const char *request_id)
+{
+  for (size_t i = s->result_count; i > 0; i--)
+    if (strcmp (s->results[i - 1].request_id, request_id) == 0)
+      return &s->results[i - 1];
+  return NULL;
+}
+
+void
+cfs_lease_message (const struct cfs_lease *l, Cfs__Assignment *a)
+{
+  cfs__assignment__init (a);
+  a->resource = (char *)l->resource;
+  a->holder = (char *)l->holder;
+  a->address = (char *)l->address;
+  a->port = l->port;
+  a->boot = l->boot;
+  a->epoch = l->epoch;
+  a->changed = l->changed;
+}
+
+void
+cfs_group_message (const struct cfs_group *g, Cfs__Group *out,
+                   Cfs__Branch *rows, Cfs__Branch **list)
+{
+  cfs__group__init (out);
+  out->name = (char *)g->name;
+  out->primary = (char *)g->primary;
+  out->term = g->term;
+  out->granted_term = g->granted_term;
+  out->granted_epoch = g->granted_epoch;
+  out->changed = g->changed;
+  for (size_t i = 0; i < g->branch_count; i++)
+    {
+      cfs__branch__init (&rows[i]);
+      rows[i].term = g->branches[i].term;
+      rows[i].start = g->branches[i].start;
+      list[i] = &rows[i];
+    }
+  out->branch = list;
+  out->n_branch = g->branch_count;
+}
+
+void
+cfs_group_load (struct cfs_group *g, const Cfs__Group *in)
+{
+  size_t skip = 0;
+
+  cfs_copy (g->primary, sizeof g->primary, in->primary);
+  g->term = in->term;
+  g->granted_term = in->granted_term;
+  g->granted_epoch = in->granted_epoch;
+  g->changed = in->changed;
+  if (in->n_branch > STATE_BRANCHES_MAX)
+    skip = in->n_branch - STATE_BRANCHES_MAX;
+  g->branch_count = in->n_branch - skip;
+  for (size_t i = 0; i < g->branch_count; i++)
+    {
+      g->branches[i].term = in->branch[i + skip]->term;
+      g->branches[i].start = in->branch[i + skip]->start;
+    }
+}
+
+/* Rows of a snapshot message while it is packed; freed in one place. */
+struct image
+{
+  Cfs__Version *versions;
+  Cfs__Version **version_list;
+  Cfs__PatchResult *results;
+  Cfs__PatchResult **result_list;
+  Cfs__Assignment *leases;
+  Cfs__Assignment **lease_list;
+  Cfs__Group *groups;
+  Cfs__Group **group_list;
+  Cfs__Branch *branches;
+  Cfs__Branch **branch_list;
+};
+
+static void
+image_alloc (struct image *im, const struct cfs_state *s)
+{
+  size_t branches = s->groups.count * STATE_BRANCHES_MAX;
+
+  im->versions = cfs_alloc (s->version_count * sizeof *im->versions);
+  im->version_list = cfs_alloc (s->version_count * sizeof (void *));
+  im->results = cfs_alloc (s->result_count * sizeof *im->results);
+  im->result_list = cfs_alloc (s->result_count * sizeof (void *));
+  im->leases = cfs_alloc (s->leases.count * sizeof *im->leases);
+  im->lease_list = cfs_alloc (s->leases.count * sizeof (void *));
+  im->groups = cfs_alloc (s->groups.count * sizeof *im->groups);
+  im->group_list = cfs_alloc (s->groups.count * sizeof (void *));
+  im->branches = cfs_alloc (branches * sizeof *im->branches);
+  im->branch_list = cfs_alloc (branches * sizeof (void *));
+}
+
+static void
+image_free (struct image *im)
+{
+  free (im->versions);
+  free (im->version_list);
+  free (im->results);
+  free (im->result_list);
+  free (im->leases);
+  free (im->lease_list);
+  free (im->groups);
+  free (im->group_list);
+  free (im->branches);
+  free (im->branch_list);
+}
+
+static void
+image_history (struct image *im, const struct cfs_state *s)
+{
+  for (size_t i = 0; i < s->version_count; i++)
+    {
+      Cfs__Version *v = &im->versions[i];
+
+      cfs_version_message (&s->versions[i], v);
+      im->version_list[i] = v;
+    }
+  for (size_t i = 0; i < s->result_count; i++)
+    {
+      Cfs__PatchResult *r = &im->results[i];
+
+      cfs__patch_result__init (r);
+      r->request_id = s->results[i].request_id;
+      r->status = s->results[i].status;
+      r->version = s->results[i].version;
+      r->message = s->results[i].message;
+      im->result_list[i] = r;
+    }
+}
+
+static void
+image_directory (struct image *im, const struct cfs_state *s)
+{
+  for (size_t i = 0; i < s->leases.count; i++)
+    {
+      cfs_lease_message (cfs_table_at (&s->leases, i), &im->leases[i]);
+      im->lease_list[i] = &im->leases[i];
+    }
+  for (size_t i = 0; i < s->groups.count; i++)
+    {
+      cfs_group_message (cfs_table_at (&s->groups, i), &im->groups[i],
+                         im->branches + i * STATE_BRANCHES_MAX,
+                         im->branch_list + i * STATE_BRANCHES_MAX);
+      im->group_list[i] = &im->groups[i];
+    }
+}
+
+void
+cfs_version_message (const struct cfs_version *v, Cfs__Version *out)
+{
+  cfs__version__init (out);
+  out->number = v->number;
+  out->patch = v->patch;
+  out->who = v->who;
+  out->when_ms = v->when_ms;
+  out->request_id = v->request_id;
+}
+
+size_t
+cfs_state_image (const struct cfs_state *s, uint8_t **data)
+{
+  Cfs__Snapshot m = CFS__SNAPSHOT__INIT;
+  struct image im;
+  size_t len;
+
+  image_alloc (&im, s);
+  image_history (&im, s);
+  image_directory (&im, s);
+  m.version = s->version;
+  m.document = s->document;
+  m.directory = s->directory;
+  m.versions = im.version_list;
+  m.n_versions = s->version_count;
+  m.results = im.result_list;
+  m.n_results = s->result_count;
+  m.assignments = im.lease_list;
+  m.n_assignments = s->leases.count;
+  m.groups = im.group_list;
+  m.n_groups = s->groups.count;
+  len = cfs__snapshot__get_packed_size (&m);
+  *data = cfs_alloc (len);
+  cfs__snapshot__pack (&m, *data);
+  image_free (&im);
+  return len;
+}
+
+int
+cfs_state_restore (struct cfs_state *s, const uint8_t *data, size_t len)
+{
+  Cfs__Snapshot *m = cfs__snapshot__unpack (NULL, len, data);
+
+  if (!m)
+    return CFS_CORRUPT;
+  cfs_state_end (s);
+  cfs_state_init (s);
+  free (s->document);
+  s->document = cfs_strdup (m->document);
+  s->version = m->version;
+  s->directory = m->directory;
+  for (size_t i = 0; i < m->n_versions; i++)
+    add_version (s, m->versions[i]->number, m->versions[i]->when_ms,
+                 m->versions[i]->patch, m->versions[i]->who,
+                 m->versions[i]->request_id);
+  for (size_t i = 0; i < m->n_results; i++)
+    add_result (s, m->results[i]->request_id, m->results[i]->status,
+                m->results[i]->version, m->results[i]->message);
+  for (size_t i = 0; i < m->n_assignments; i++)
+    cfs_lease_load (cfs_table_add (&s->leases, m->assignments[i]->resource),
+                    m->assignments[i]);
+  for (size_t i = 0; i < m->n_groups; i++)
+    cfs_group_load (cfs_table_add (&s->groups, m->groups[i]->name),
+                    m->groups[i]);
+  cfs__snapshot__free_unpacked (m, NULL);
+  return CFS_OK;
+}
--- /dev/null
+++ b/src/process/traffic.c
@@ -0,0 +1,339 @@
+/*
+ * One loop drives HTTP, the messages of other hosts, the connections to
+ * targets and the pair to the control thread, so none of them needs a lock.
+ */
+#include "traffic.h"
+
+#include "../connection/http.h"
+#include "../request/entry.h"
+#include "../request/gates.h"
+#include "directory.h"
+#include "log.h"
+#include "loop.h"
+#include "net.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#define PART "traffic"
+#define TICK_US (4 * CFS_US_PER_MS)
+/* Time for balancers to see that a stopping host is not ready. */
+#define NOT_READY_US (500 * CFS_US_PER_MS)
+
+struct cfs_traffic
+{
+  const struct cfs_settings *settings;
+  apr_pool_t *pool;
+  struct cfs_loop *loop;
+  struct cfs_directory directory;
+  struct cfs_net *net;
+  struct cfs_http *http;
+  struct cfs_entry *entry;
+  struct cfs_gates *gates;
+  void *pair;
+  int pair_watch;
+  char *certificate;
+  char *key;
+  uint8_t *last_report;
+  size_t last_len;
+  bool drain;
+  bool stop;
+};
+
+static void
+to_control (void *ctx, const Cfs__Peer *msg)
+{
+  struct cfs_traffic *t = ctx;
+  size_t len = cfs__peer__get_packed_size (msg);
+  uint8_t *data = cfs_alloc (len);
+
+  cfs__peer__pack (msg, data);
+  zmq_send (t->pair, data, len, ZMQ_DONTWAIT);
+  free (data);
+}
+
+static void
+metrics (void *ctx, GString *out)
+{
+  const struct cfs_traffic *t = ctx;
+
+  cfs_gates_metrics (t->gates, out, cfs_now ());
+}
+
+static void
+stop_here (void *ctx)
+{
+  ((struct cfs_traffic *)ctx)->stop = true;
+}
+
+static void
+on_request (void *ctx, struct cfs_call *call)
+{
+  cfs_entry_request (((struct cfs_traffic *)ctx)->entry, call);
+}
+
+static void
+receive (void *ctx, const struct cfs_origin *from, const Cfs__Peer *msg)
+{
+  struct cfs_traffic *t = ctx;
+  int64_t now = cfs_now ();
+
+  switch (msg->body_case)
+    {
+    case CFS__PEER__BODY_EXECUTE:
+      if (from)
+        cfs_gates_execute (t->gates, from, msg->execute, now);
+      break;
+    case CFS__PEER__BODY_ASK:
+      if (from)
+        cfs_gates_ask (t->gates, from, msg->ask, now);
+      break;
+    case CFS__PEER__BODY_ANNOUNCE:
+      cfs_gates_announce (t->gates, msg->announce, now);
+      break;
+    case CFS__PEER__BODY_ANSWER:
+      cfs_entry_answer (t->entry, msg->answer, now);
+      break;
+    case CFS__PEER__BODY_GRANT:
+      cfs_entry_granted (t->entry, msg->grant, now);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+take_renewal (struct cfs_traffic *t, const Cfs__HeartbeatReply *r)
+{
+  int64_t now = cfs_now ();
+  bool changed = cfs_directory_update (&t->directory, r);
+
+  cfs_gates_follow (t->gates, r, now);
+  if (changed || r->n_assignments)
+    cfs_entry_follow (t->entry, now);
+}
+
+static void
+take_pair (struct cfs_traffic *t, const uint8_t *data, size_t len)
+{
+  Cfs__Peer *msg = cfs__peer__unpack (NULL, len, data);
+
+  if (!msg)
+    return;
+  if (msg->body_case == CFS__PEER__BODY_REPLY)
+    take_renewal (t, msg->reply);
+  else if (msg->body_case == CFS__PEER__BODY_CALLED)
+    cfs_entry_called (t->entry, msg->called);
+  cfs__peer__free_unpacked (msg, NULL);
+}
+
+static void
+pump_pair (struct cfs_traffic *t)
+{
+  zmq_msg_t msg;
+
+  zmq_msg_init (&msg);
+  while (zmq_msg_recv (&msg, t->pair, ZMQ_DONTWAIT) >= 0)
+    take_pair (t, zmq_msg_data (&msg), zmq_msg_size (&msg));
+  zmq_msg_close (&msg);
+}
+
+static void
+wake (void *ctx, int events)
+{
+  (void)ctx;
+  (void)events;
+}
+
+static bool
+open_pair (struct cfs_traffic *t, void *zmq)
+{
+  int fd;
+  int linger = 0;
+  size_t len = sizeof fd;
+
+  t->pair = zmq_socket (zmq, ZMQ_PAIR);
+  zmq_setsockopt (t->pair, ZMQ_LINGER, &linger, sizeof linger);
+  if (zmq_connect (t->pair, TRAFFIC_ENDPOINT) != 0)
+    return false;
+  zmq_getsockopt (t->pair, ZMQ_FD, &fd, &len);
+  t->pair_watch = cfs_loop_add (t->loop, fd, LOOP_READ, wake, t);
+  return true;
+}
+
+static bool
+open_net (struct cfs_traffic *t, void *zmq, GError **error)
+{
+  const struct cfs_settings *s = t->settings;
+  struct cfs_net_setup setup = { .zmq = zmq,
+                                 .address = s->address,
+                                 .port = s->traffic_port,
+                                 .public_key = s->curve_public,
+                                 .secret_key = s->curve_secret,
+                                 .receive = receive,
+                                 .ctx = t };
+
+  t->net = cfs_net_new (&setup, t->loop);
+  if (!t->net)
+    g_set_error (error, g_quark_from_static_string ("cfs-traffic"), 0,
+                 "cannot listen on %s port %u", s->address, s->traffic_port);
+  return t->net != NULL;
+}
+
+static bool
+open_http (struct cfs_traffic *t, GError **error)
+{
+  const struct cfs_settings *s = t->settings;
+  struct cfs_http_setup setup = { .loop = t->loop,
+                                  .address = s->address,
+                                  .port = s->http_port,
+                                  .max_body_bytes = s->max_body_bytes,
+                                  .request = on_request,
+                                  .ctx = t };
+
+  if (s->tls_certificate
+      && (!g_file_get_contents (s->tls_certificate, &t->certificate, NULL,
+                                error)
+          || !g_file_get_contents (s->tls_key, &t->key, NULL, error)))
+    return false;
+  setup.certificate = t->certificate;
+  setup.key = t->key;
+  t->http = cfs_http_new (&setup, error);
+  return t->http != NULL;
+}
+
+struct cfs_traffic *
+cfs_traffic_new (const struct cfs_settings *settings, uint64_t boot, void *zmq,
+                 GError **error)
+{
+  struct cfs_traffic *t = cfs_alloc (sizeof *t);
+  struct cfs_entry_setup entry = { .settings = settings,
+                                   .directory = &t->directory,
+                                   .to_control = to_control,
+                                   .metrics = metrics,
+                                   .stop = stop_here,
+                                   .ctx = t };
+  struct cfs_gates_setup gates
+      = { .settings = settings, .directory = &t->directory };
+
+  t->settings = settings;
+  cfs_directory_init (&t->directory, settings->host, boot);
+  apr_pool_create (&t->pool, NULL);
+  t->loop = cfs_loop_new (t->pool);
+  if (!t->loop || !open_pair (t, zmq) || !open_net (t, zmq, error)
+      || !open_http (t, error))
+    {
+      cfs_traffic_free (t);
+      return NULL;
+    }
+  entry.net = t->net;
+  gates.net = t->net;
+  gates.loop = t->loop;
+  t->entry = cfs_entry_new (&entry);
+  t->gates = cfs_gates_new (&gates);
+  return t;
+}
+
+void
+cfs_traffic_free (struct cfs_traffic *t)
+{
+  if (!t)
+    return;
+  cfs_gates_free (t->gates);
+  cfs_entry_free (t->entry);
+  if (t->http)
+    cfs_http_pump (t->http);
+  cfs_http_free (t->http);
+  cfs_net_free (t->net);
+  if (t->pair)
+    {
+      cfs_loop_remove (t->loop, t->pair_watch);
+      zmq_close (t->pair);
+    }
+  cfs_directory_end (&t->directory);
+  g_free (t->certificate);
+  g_free (t->key);
+  free (t->last_report);
+  apr_pool_destroy (t->pool);
+  free (t);
+}
+
+/* Tells the control thread what the heartbeats must say, when it changed. */
+static void
+send_report (struct cfs_traffic *t, int64_t now)
+{
+  Cfs__Peer out = CFS__PEER__INIT;
+  Cfs__Heartbeat h = CFS__HEARTBEAT__INIT;
+  uint8_t *data;
+  size_t len;
+
+  h.draining = t->drain;
+  cfs_gates_report (t->gates, t->drain, &h, now);
+  out.body_case = CFS__PEER__BODY_HEARTBEAT;
+  out.heartbeat = &h;
+  len = cfs__peer__get_packed_size (&out);
+  data = cfs_alloc (len);
+  cfs__peer__pack (&out, data);
+  if (len == t->last_len && memcmp (data, t->last_report, len) == 0)
+    {
+      free (data);
+      return;
+    }
+  free (t->last_report);
+  t->last_report = data;
+  t->last_len = len;
+  zmq_send (t->pair, data, len, ZMQ_DONTWAIT);
+}
+
+static void
+turn (struct cfs_traffic *t)
+{
+  int64_t now;
+
+  cfs_http_pump (t->http);
+  pump_pair (t);
+  cfs_net_pump (t->net);
+  cfs_loop_poll (t->loop, TICK_US);
+  now = cfs_now ();
+  cfs_gates_tick (t->gates, now);
+  cfs_entry_tick (t->entry, now);
+  send_report (t, now);
+}
+
+/* Whether a stopping host has nothing left to do. */
+static bool
+is_drained (const struct cfs_traffic *t)
+{
+  return cfs_gates_held (t->gates) == 0 && cfs_entry_open (t->entry) == 0
+         && cfs_http_open_calls (t->http) == 0;
+}
+
+void
+cfs_traffic_run (struct cfs_traffic *t, const volatile bool *stop)
+{
+  int64_t started;
+  int64_t limit = (int64_t)t->settings->stop_seconds * CFS_US_PER_S;
+
+  cfs_log (CFS_NOTICE, PART, "serves on %s port %u", t->settings->address,
+           t->settings->http_port);
+  while (!*stop && !t->stop)
+    turn (t);
+  started = cfs_now ();
+  t->drain = true;
+  cfs_entry_drain (t->entry);
+  cfs_log (CFS_NOTICE, PART, "stops: hands over and finishes what runs");
+  while (cfs_now () - started < limit)
+    {
+      int64_t since = cfs_now () - started;
+
+      turn (t);
+      if (since > NOT_READY_US && cfs_gates_held (t->gates) == 0)
+        cfs_http_quiesce (t->http);
+      if (since > 2 * NOT_READY_US && is_drained (t))
+        break;
+    }
+  cfs_log (CFS_NOTICE, PART, "stopped with %zu calls open",
+           cfs_entry_open (t->entry));
+}
--- /dev/null
+++ b/src/request/entry_int.h
@@ -0,0 +1,127 @@
+/**
+ * DOC: Private parts of the entry, shared by entry.c, statement.c and
+ * operate.c.
+ */
+#ifndef CFS_ENTRY_INT_H
+#define CFS_ENTRY_INT_H
+
+#include "../connection/token.h"
+#include "admit.h"
+#include "entry.h"
+
+#include <apr_hash.h>
+#include <apr_pools.h>
+
+#define GATE_PREFIX "gate/"
+#define LIMIT_PREFIX "limit/"
+#define ENTRY_PARAMS_MAX 64
+#define DEADLINE_DEFAULT_MS 10000
+#define DEADLINE_MAX_MS 60000
+#define MAX_AGE_DEFAULT_MS 5000
+/* An answer of the gate that lost its lease is awaited this long. */
+#define ORPHAN_WAIT_US (500 * CFS_US_PER_MS)
+/* Taken off the deadline that the gate is told, for the way back. */
+#define RETURN_MARGIN_US (20 * CFS_US_PER_MS)
+/* Pause before a call goes again to a gate that was not ready for it. */
+#define MOVED_PAUSE_US (15 * CFS_US_PER_MS)
+
+/**
+ * enum job_state - where a call is
+ * @JOB_ADMITTING: waits for tokens
+ * @JOB_WAITING: waits for a gate
+ * @JOB_SENT: a gate has it
+ */
+enum job_state
+{
+  JOB_ADMITTING,
+  JOB_WAITING,
+  JOB_SENT
+};
+
+/** struct entry_job - one call of a caller */
+struct entry_job
+{
+  struct cfs_request request;
+  struct cfs_entry *entry;
+  struct cfs_call *call;
+  struct cfs_token token;
+  enum job_state state;
+  uint64_t id;
+  uint64_t sent_epoch;
+  uint64_t checked_version;
+  int64_t orphaned_at;
+  int64_t retry_at;
+  char group[CFS_NAME_MAX];
+  char *bearer;
+  char *sql;
+  Cfs__Param *params;
+  Cfs__Param **param_list;
+  size_t param_count;
+  struct entry_job *prev;
+  struct entry_job *next;
+};
+
+/** struct announce_row - the last announcement passed to the leader */
+struct announce_row
+{
+  char name[CFS_NAME_MAX];
+  uint64_t digest;
+  int64_t at;
+};
+
+/** struct operator_call - an operator's call on its way */
+struct operator_call
+{
+  uint64_t id;
+  struct cfs_call *call;
+};
+
+struct cfs_entry
+{
+  struct cfs_entry_setup setup;
+  struct cfs_admit admit;
+  apr_pool_t *pool;
+  apr_hash_t *sent;
+  struct entry_job *jobs;
+  size_t open;
+  uint64_t next_id;
+  unsigned char token_key[TOKEN_KEY_BYTES];
+  struct cfs_table announced;
+  struct operator_call *calls;
+  size_t call_count;
+  size_t call_cap;
+  bool draining;
+  uint64_t answers[CFS_CODE_COUNT];
+};
+
+/** entry_id() - number that no earlier run of this host has used */
+uint64_t entry_id (struct cfs_entry *entry);
+
+/** entry_problem() - answers with problem+json */
+void entry_problem (struct cfs_entry *entry, struct cfs_call *call,
+                    enum cfs_code code, enum cfs_outcome outcome,
+                    const char *detail);
+
+/** entry_bearer() - the presented key, or NULL */
+const char *entry_bearer (const struct cfs_call *call);
+
+/** statement_request() - /v1/groups/... and /v1/sheets/... */
+void statement_request (struct cfs_entry *entry, struct cfs_call *call,
+                        char **parts, size_t count);
+
+/** operate_request() - /v1/config, /v1/audit, /v1/status, /v1/announce */
+void operate_request (struct cfs_entry *entry, struct cfs_call *call,
+                      const char *what);
+
+/** entry_submit() - takes a checked job into admission */
+void entry_submit (struct cfs_entry *entry, struct entry_job *job,
+                   const struct cfs_team *team, int64_t deadline_ms);
+
+/** entry_finish() - answers a job with a refusal and frees it */
+void entry_finish (struct entry_job *job, enum cfs_code code,
+                   enum cfs_outcome outcome, const char *detail);
+
+/** entry_free_job() - frees a job whose call was answered */
+void entry_free_job (struct entry_job *job);
+
+#endif
--- /dev/null
+++ b/src/request/fair.c
@@ -0,0 +1,227 @@
+/*
+ * Start-time fair queueing by measured cost.  Deficit round robin was
+ * weighed: it needs the cost before the run, while here a statement's cost
+ * is known only afterwards, and a charge that is corrected later keeps the
+ * long-term share exact.  First come first served and plain round robin are
+ * kept as baselines for the benchmark.
+ */
+#include "fair.h"
+
+#include <string.h>
+
+/* Weight of a new measurement in the moving average of a team's cost. */
+#define COST_GAIN 0.125
+
+void
+cfs_queue_push (struct cfs_queue *q, struct cfs_request *r)
+{
+  r->next = NULL;
+  if (q->tail)
+    q->tail->next = r;
+  else
+    q->head = r;
+  q->tail = r;
+  q->count++;
+}
+
+/* Removes the request that @prev points to, or the head without @prev. */
+static struct cfs_request *
+unlink_after (struct cfs_queue *q, struct cfs_request *prev)
+{
+  struct cfs_request *r = prev ? prev->next : q->head;
+
+  if (prev)
+    prev->next = r->next;
+  else
+    q->head = r->next;
+  if (q->tail == r)
+    q->tail = prev;
+  r->next = NULL;
+  q->count--;
+  return r;
+}
+
+struct cfs_request *
+cfs_queue_pop (struct cfs_queue *q)
+{
+  return q->head ? unlink_after (q, NULL) : NULL;
+}
+
+void
+cfs_fair_init (struct cfs_fair *f, enum cfs_fair_policy policy)
+{
+  memset (f, 0, sizeof *f);
+  cfs_table_init (&f->teams, sizeof (struct cfs_fair_team));
+  f->policy = policy;
+}
+
+void
+cfs_fair_end (struct cfs_fair *f)
+{
+  cfs_table_end (&f->teams);
+}
+
+static bool
+is_idle (const struct cfs_fair_team *t)
+{
+  return t->lanes[CFS_LANE_READ].count + t->lanes[CFS_LANE_WRITE].count == 0;
+}
+
+int
+cfs_fair_push (struct cfs_fair *f, enum cfs_lane lane, struct cfs_request *r)
+{
+  struct cfs_fair_team *t = cfs_table_add (&f->teams, r->team);
+
+  if (t->lanes[lane].count >= FAIR_QUEUE_MAX)
+    return CFS_FULL;
+  t->weight = r->weight ? r->weight : 1;
+  if (t->cost_us <= 0)
+    t->cost_us = FAIR_FIRST_COST_US;
+  if (is_idle (t) && t->vtime < f->vtime)
+    t->vtime = f->vtime;
+  cfs_queue_push (&t->lanes[lane], r);
+  f->queued++;
+  return CFS_OK;
+}
+
+/* Whether team a goes before team b. */
+static bool
+precedes (const struct cfs_fair *f, enum cfs_lane lane,
+          const struct cfs_fair_team *a, const struct cfs_fair_team *b)
+{
+  if (f->policy == FAIR_FIRST_COME)
+    return a->lanes[lane].head->arrived_at < b->lanes[lane].head->arrived_at;
+  return a->vtime < b->vtime;
+}
+
+static struct cfs_request *
+scan_team (struct cfs_fair_team *t, enum cfs_lane lane,
+           bool (*can_run) (void *, struct cfs_request *), void *ctx)
+{
+  struct cfs_request *prev = NULL;
+  struct cfs_request *r = t->lanes[lane].head;
+
+  for (int i = 0; r && i < FAIR_SCAN_MAX; i++)
+    {
+      if (can_run (ctx, r))
+        return unlink_after (&t->lanes[lane], prev);
+      prev = r;
+      r = r->next;
+    }
+  return NULL;
+}
+
+static void
+charge (struct cfs_fair *f, struct cfs_fair_team *t, struct cfs_request *r)
+{
+  r->estimate_us = (int64_t)t->cost_us;
+  if (t->vtime > f->vtime)
+    f->vtime = t->vtime;
+  if (f->policy == FAIR_ROUND_ROBIN)
+    t->vtime += 1.0 / t->weight;
+  else
+    t->vtime += t->cost_us / t->weight;
+}
+
+struct cfs_request *
+cfs_fair_pop (struct cfs_fair *f, enum cfs_lane lane,
+              bool (*can_run) (void *, struct cfs_request *), void *ctx)
+{
+  enum
+  {
+    TEAMS_TRIED = 64
+  };
+  const struct cfs_fair_team *tried[TEAMS_TRIED];
+  size_t count = 0;
+
+  /* Invariant: no team in tried has a request that can run now. */
+  while (count < TEAMS_TRIED)
+    {
+      struct cfs_fair_team *best = NULL;
+      struct cfs_request *r;
+
+      for (size_t i = 0; i < f->teams.count; i++)
+        {
+          struct cfs_fair_team *t = cfs_table_at (&f->teams, i);
+          bool skip = t->lanes[lane].count == 0;
+
+          for (size_t j = 0; j < count && !skip; j++)
+            skip = tried[j] == t;
+          if (!skip && (!best || precedes (f, lane, t, best)))
+            best = t;
+        }
+      if (!best)
+        return NULL;
+      r = scan_team (best, lane, can_run, ctx);
+      if (r)
+        {
+          f->queued--;
+          charge (f, best, r);
+          return r;
+        }
+      tried[count++] = best;
+    }
+  return NULL;
+}
+
+struct cfs_request *
+cfs_fair_expire (struct cfs_fair *f, int64_t now)
+{
+  for (size_t i = 0; i < f->teams.count; i++)
+    {
+      struct cfs_fair_team *t = cfs_table_at (&f->teams, i);
+
+      for (int lane = 0; lane < CFS_LANE_COUNT; lane++)
+        {
+          struct cfs_request *prev = NULL;
+          struct cfs_request *r = t->lanes[lane].head;
+
+          for (; r; prev = r, r = r->next)
+            if (r->deadline <= now)
+              {
+                f->queued--;
+                return unlink_after (&t->lanes[lane], prev);
+              }
+        }
+    }
+  return NULL;
+}
+
+void
+cfs_fair_done (struct cfs_fair *f, const struct cfs_request *r,
+               int64_t used_us)
+{
+  struct cfs_fair_team *t = cfs_table_find (&f->teams, r->team);
+
+  if (!t)
+    return;
+  if (f->policy != FAIR_ROUND_ROBIN)
+    t->vtime += (double)(used_us - r->estimate_us) / t->weight;
+  t->cost_us += COST_GAIN * ((double)used_us - t->cost_us);
+  if (t->cost_us < 1)
+    t->cost_us = 1;
+}
+
+int64_t
+cfs_fair_wait (const struct cfs_fair *f, const char *team, uint32_t weight,
+               unsigned slots)
+{
+  const struct cfs_fair_team *own = cfs_table_find (&f->teams, team);
+  double share = weight ? weight : 1;
+  double total = share;
+  double waiting;
+
+  if (!own || is_idle (own))
+    return 0;
+  for (size_t i = 0; i < f->teams.count; i++)
+    {
+      const struct cfs_fair_team *t = cfs_table_at (&f->teams, i);
+
+      if (t != own && !is_idle (t))
+        total += t->weight;
+    }
+  waiting = (double)(own->lanes[CFS_LANE_READ].count
+                     + own->lanes[CFS_LANE_WRITE].count);
+  return (int64_t)(waiting * own->cost_us * total / share
+                   / (slots ? slots : 1));
+}
--- /dev/null
+++ b/src/request/gate.c
@@ -0,0 +1,981 @@
+/*
+ * The gate's queueing, connections and acknowledgements.  A host that holds
+ * the lease runs every statement of the group, because only one place can
+ * share two slots fairly, remember running idempotency keys and freeze
+ * writes at a failover.  Choice of replicas is in route.c, replacement of a
+ * primary in promote.c.
+ *
+ * An answer to a write is checked last: the lease must hold, the term of the
+ * commit must be the present one, and a majority must hold its position.
+ */
+#include "gate_int.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CONN_COUNT (GATE_CONNECTIONS_MAX * GATE_INSTANCES_MAX)
+/* Pause before a refused or lost connection is opened again. */
+#define RECONNECT_US (100 * CFS_US_PER_MS)
+/* Pause before a request is sent again. */
+#define RETRY_PAUSE_US (20 * CFS_US_PER_MS)
+/* Connections of an instance that are kept for probes. */
+#define PROBE_CONNECTIONS 1
+
+const struct cfs_gate_tuning cfs_gate_defaults = {
+  .probe_us = 50 * CFS_US_PER_MS,
+  .probe_fast_us = 10 * CFS_US_PER_MS,
+  .suspect_us = 1000 * CFS_US_PER_MS,
+  .stall_us = 1200 * CFS_US_PER_MS,
+  .pause_us = 200 * CFS_US_PER_MS,
+  .reachable_us = 300 * CFS_US_PER_MS,
+  .replica_wait_us = 100 * CFS_US_PER_MS,
+  .leave_us = 2 * CFS_US_PER_S,
+  .transaction_us = 30 * CFS_US_PER_S,
+  .extra_percent = 50,
+  .attempts = 4,
+  .retry_ratio = 0.1,
+  .retry_max = 20,
+  .wait_for_replica = true,
+};
+
+/* What a queue scan needs to know. */
+struct scan
+{
+  struct cfs_gate *gate;
+  int64_t now;
+  int inst;
+  int conn;
+};
+
+bool
+gate_leased (const struct cfs_gate *g, int64_t now)
+{
+  return g->epoch != 0 && now < g->lease_until;
+}
+
+unsigned
+gate_majority (const struct cfs_gate *g)
+{
+  return g->size / 2 + 1;
+}
+
+int
+gate_primary (const struct cfs_gate *g)
+{
+  for (unsigned i = 0; i < g->inst_count; i++)
+    if (strcmp (g->inst[i].name, g->group.primary) == 0)
+      return (int)i;
+  return -1;
+}
+
+bool
+gate_has_room (const struct cfs_gate *g, unsigned inst)
+{
+  const struct gate_instance *in = &g->inst[inst];
+  unsigned extra = (in->slots * g->tuning.extra_percent + 99) / 100;
+
+  return in->running < in->slots + extra;
+}
+
+static void
+answer (struct cfs_gate *g, struct cfs_request *r, enum cfs_code code,
+        enum cfs_outcome outcome, void *body)
+{
+  struct cfs_verdict v = { .code = code, .outcome = outcome, .body = body };
+
+  if (r->unsure && outcome == CFS_NOT_RUN && code != CFS_CODE_SQL_ERROR)
+    v.outcome = CFS_UNKNOWN;
+  if (v.outcome == CFS_NOT_RUN && code != CFS_CODE_SQL_ERROR)
+    g->stats.refused++;
+  g->ops->answer (g->ctx, r, &v);
+}
+
+/* Outcome of a request that is given up now: sent ones are not certain. */
+static enum cfs_outcome
+given_up (const struct cfs_request *r)
+{
+  return r->attempts ? CFS_UNKNOWN : CFS_NOT_RUN;
+}
+
+static void
+free_conn (struct cfs_gate *g, unsigned c)
+{
+  struct gate_conn *conn = &g->conn[c];
+  struct gate_instance *in = &g->inst[conn->inst];
+
+  if (conn->state == CONN_BUSY)
+    in->running--;
+  if (*conn->transaction)
+    in->pinned--;
+  in->open--;
+  memset (conn, 0, sizeof *conn);
+}
+
+static void
+close_conn (struct cfs_gate *g, unsigned c)
+{
+  g->ops->close (g->ctx, c);
+  free_conn (g, c);
+}
+
+static unsigned
+conn_limit (const struct gate_instance *in)
+{
+  unsigned limit = in->connections;
+
+  if (limit > GATE_CONNECTIONS_MAX)
+    limit = GATE_CONNECTIONS_MAX;
+  return limit > PROBE_CONNECTIONS ? limit - PROBE_CONNECTIONS : 1;
+}
+
+static void
+open_conn (struct cfs_gate *g, unsigned inst, int64_t now)
+{
+  struct gate_instance *in = &g->inst[inst];
+
+  if (in->open >= conn_limit (in) || now < in->connect_after)
+    return;
+  for (unsigned c = 0; c < CONN_COUNT; c++)
+    if (g->conn[c].state == CONN_FREE)
+      {
+        g->conn[c].state = CONN_OPENING;
+        g->conn[c].inst = inst;
+        in->open++;
+        g->stats.connects++;
+        g->ops->connect (g->ctx, c, inst);
+        return;
+      }
+}
+
+static unsigned
+count_conns (const struct cfs_gate *g, unsigned inst,
+             enum gate_conn_state state)
+{
+  unsigned n = 0;
+
+  for (unsigned c = 0; c < CONN_COUNT; c++)
+    n += g->conn[c].state == state && g->conn[c].inst == inst;
+  return n;
+}
+
+static int
+idle_conn (const struct cfs_gate *g, unsigned inst)
+{
+  for (unsigned c = 0; c < CONN_COUNT; c++)
+    if (g->conn[c].state == CONN_IDLE && g->conn[c].inst == inst)
+      return (int)c;
+  return -1;
+}
+
+/* An idle connection, or -1 after one more was asked for. */
+static int
+take_conn (struct cfs_gate *g, unsigned inst, int64_t now)
+{
+  int c = idle_conn (g, inst);
+
+  if (c < 0 && count_conns (g, inst, CONN_OPENING) < g->inst[inst].slots)
+    open_conn (g, inst, now);
+  return c;
+}
+
+static bool
+can_read (void *ctx, struct cfs_request *r)
+{
+  struct scan *s = ctx;
+
+  if (s->now < r->not_before)
+    return false;
+  s->inst = route_read (s->gate, r, s->now);
+  if (s->inst < 0)
+    return false;
+  s->conn = take_conn (s->gate, (unsigned)s->inst, s->now);
+  return s->conn >= 0;
+}
+
+/* Whether the same team's key is running or waits for replicas. */
+static bool
+key_is_busy (const struct cfs_gate *g, const struct cfs_request *r)
+{
+  for (unsigned c = 0; c < CONN_COUNT; c++)
+    {
+      const struct cfs_request *o = g->conn[c].request;
+
+      if (o && strcmp (o->key, r->key) == 0 && strcmp (o->team, r->team) == 0)
+        return true;
+    }
+  return false;
+}
+
+static bool
+can_write (void *ctx, struct cfs_request *r)
+{
+  struct scan *s = ctx;
+  const struct gate_instance *in = &s->gate->inst[s->inst];
+
+  if (s->now < r->not_before || (*r->key && key_is_busy (s->gate, r)))
+    return false;
+  if (r->kind == CFS_BEGIN && in->pinned * 2 >= conn_limit (in))
+    return false;
+  s->conn = take_conn (s->gate, (unsigned)s->inst, s->now);
+  return s->conn >= 0;
+}
+
+static enum cfs_work
+work_of (const struct cfs_request *r)
+{
+  switch (r->kind)
+    {
+    case CFS_READ:
+      return WORK_READ;
+    case CFS_BEGIN:
+      return WORK_BEGIN;
+    case CFS_STATEMENT:
+      return WORK_STATEMENT;
+    case CFS_COMMIT:
+      return WORK_COMMIT;
+    case CFS_ROLLBACK:
+      return WORK_ROLLBACK;
+    default:
+      return *r->key ? WORK_KEYED_WRITE : WORK_WRITE;
+    }
+}
+
+static void
+run (struct cfs_gate *g, unsigned c, struct cfs_request *r, int64_t now)
+{
+  struct gate_conn *conn = &g->conn[c];
+
+  conn->state = CONN_BUSY;
+  conn->request = r;
+  conn->work = work_of (r);
+  conn->started_at = now;
+  conn->term = g->group.term;
+  g->inst[conn->inst].running++;
+  r->attempts++;
+  r->started_at = now;
+  g->stats.sent++;
+  g->ops->run (g->ctx, c, conn->work, r);
+}
+
+static void
+dispatch (struct cfs_gate *g, int64_t now)
+{
+  struct scan s = { g, now, -1, -1 };
+  struct cfs_request *r;
+  int primary = gate_primary (g);
+
+  if (!gate_leased (g, now) || g->fair.queued == 0)
+    return;
+  while ((r = cfs_fair_pop (&g->fair, CFS_LANE_READ, can_read, &s)))
+    run (g, (unsigned)s.conn, r, now);
+  if (primary < 0 || g->phase != PHASE_SERVING || g->inst[primary].leaving)
+    return;
+  s.inst = primary;
+  while (gate_has_room (g, (unsigned)primary)
+         && (r = cfs_fair_pop (&g->fair, CFS_LANE_WRITE, can_write, &s)))
+    run (g, (unsigned)s.conn, r, now);
+}
+
+static enum cfs_lane
+lane_of (const struct cfs_request *r)
+{
+  return r->kind == CFS_READ ? CFS_LANE_READ : CFS_LANE_WRITE;
+}
+
+/* Queues a request again if its attempts and the budget allow. */
+static bool
+try_again (struct cfs_gate *g, struct cfs_request *r, int64_t now)
+{
+  if (r->once || r->attempts >= g->tuning.attempts || g->retry_budget < 1
+      || now + RETRY_PAUSE_US >= r->deadline)
+    return false;
+  r->not_before = now + RETRY_PAUSE_US
+                  + (int64_t)(cfs_random (&g->seed) % RETRY_PAUSE_US);
+  if (cfs_fair_push (&g->fair, lane_of (r), r) != CFS_OK)
+    return false;
+  g->retry_budget -= 1;
+  g->stats.retries++;
+  return true;
+}
+
+static unsigned
+holders_of (const struct cfs_gate *g, uint64_t position)
+{
+  int primary = gate_primary (g);
+  unsigned n = 1;
+
+  for (unsigned i = 0; i < g->inst_count; i++)
+    n += (int)i != primary && g->inst[i].term == g->group.term
+         && g->inst[i].position >= position;
+  return n;
+}
+
+static bool
+may_acknowledge (const struct cfs_gate *g, const struct cfs_verdict *v)
+{
+  if (v->term != g->group.term)
+    return route_token (&g->group, v->term, v->position) == TOKEN_VALID;
+  if (g->phase != PHASE_SERVING && g->phase != PHASE_ASKING)
+    return false;
+  if (g->ack_primary)
+    return g->phase == PHASE_SERVING;
+  return holders_of (g, v->position) >= gate_majority (g);
+}
+
+/* Settles one waiting write.  Returns whether it is done with. */
+static bool
+settle_one (struct cfs_gate *g, struct gate_ack *a, int64_t now)
+{
+  struct cfs_verdict *v = &a->verdict;
+  struct cfs_request *r = a->request;
+
+  if (!gate_leased (g, now))
+    {
+      v->code = CFS_CODE_NO_LEASE;
+      v->outcome = CFS_UNKNOWN;
+    }
+  else if (may_acknowledge (g, v))
+    {
+      v->code = CFS_CODE_OK;
+      v->outcome = CFS_DONE;
+    }
+  else if (v->term < g->group.term)
+    {
+      if (*r->key && try_again (g, r, now))
+        {
+          g->ops->discard (g->ctx, v->body);
+          return true;
+        }
+      v->code = CFS_CODE_SUPERSEDED;
+      v->outcome = CFS_UNKNOWN;
+    }
+  else if (now >= r->deadline)
+    {
+      v->code = CFS_CODE_DEADLINE;
+      v->outcome = CFS_UNKNOWN;
+    }
+  else
+    return false;
+  g->ops->answer (g->ctx, r, v);
+  return true;
+}
+
+void
+gate_settle (struct cfs_gate *g, int64_t now)
+{
+  size_t kept = 0;
+
+  /* Invariant: acks before kept still wait; those between kept and i are
+     done with. */
+  for (size_t i = 0; i < g->ack_count; i++)
+    if (!settle_one (g, &g->acks[i], now))
+      g->acks[kept++] = g->acks[i];
+  g->ack_count = kept;
+}
+
+static void
+wait_for_majority (struct cfs_gate *g, struct cfs_request *r,
+                   const struct cfs_ran_result *res, int64_t now)
+{
+  struct gate_ack *a;
+
+  cfs_grow (&g->acks, &g->ack_cap, g->ack_count, sizeof *g->acks);
+  a = &g->acks[g->ack_count++];
+  memset (a, 0, sizeof *a);
+  a->request = r;
+  a->verdict.term = res->term;
+  a->verdict.position = res->position;
+  a->verdict.body = res->body;
+  gate_settle (g, now);
+}
+
+static void
+finish_read (struct cfs_gate *g, const struct gate_conn *conn,
+             struct cfs_request *r, const struct cfs_ran_result *res,
+             int64_t now)
+{
+  struct cfs_verdict v = { .code = CFS_CODE_OK,
+                           .outcome = CFS_DONE,
+                           .term = res->term,
+                           .position = res->position,
+                           .body = res->body };
+  bool kept = route_token (&g->group, r->token_term, r->token_position)
+                  == TOKEN_VALID
+              && res->term == conn->term && res->position >= r->token_position;
+
+  if (!gate_leased (g, now) || !kept)
+    {
+      g->ops->discard (g->ctx, res->body);
+      if (gate_leased (g, now) && try_again (g, r, now))
+        return;
+      answer (g, r, CFS_CODE_NO_LEASE, CFS_UNKNOWN, NULL);
+      return;
+    }
+  v.replica = (int)conn->inst != gate_primary (g);
+  if (v.replica)
+    g->stats.reads_replica++;
+  else
+    g->stats.reads_primary++;
+  g->ops->answer (g->ctx, r, &v);
+}
+
+static void
+finish_write (struct cfs_gate *g, const struct gate_conn *conn,
+              struct cfs_request *r, const struct cfs_ran_result *res,
+              int64_t now)
+{
+  g->stats.writes++;
+  if (res->term == conn->term)
+    {
+      wait_for_majority (g, r, res, now);
+      return;
+    }
+  g->ops->discard (g->ctx, res->body);
+  answer (g, r, CFS_CODE_SUPERSEDED, CFS_UNKNOWN, NULL);
+}
+
+static void
+finish_ok (struct cfs_gate *g, const struct gate_conn *conn,
+           struct cfs_request *r, const struct cfs_ran_result *res,
+           int64_t now)
+{
+  if (r->kind == CFS_READ)
+    finish_read (g, conn, r, res, now);
+  else if (r->kind == CFS_WRITE || r->kind == CFS_COMMIT)
+    finish_write (g, conn, r, res, now);
+  else if (gate_leased (g, now))
+    answer (g, r, CFS_CODE_OK, CFS_DONE, res->body);
+  else
+    {
+      g->ops->discard (g->ctx, res->body);
+      answer (g, r, CFS_CODE_NO_LEASE, CFS_UNKNOWN, NULL);
+    }
+}
+
+/* A connection ended under a request. */
+static void
+finish_lost (struct cfs_gate *g, struct cfs_request *r, enum cfs_ran ran,
+             int64_t now)
+{
+  bool unsure = ran == RAN_UNKNOWN && r->kind != CFS_READ;
+  bool single = r->kind == CFS_READ || r->kind == CFS_WRITE;
+
+  r->unsure |= unsure;
+  if (single && (!unsure || *r->key) && try_again (g, r, now))
+    return;
+  if (r->kind == CFS_STATEMENT || r->kind == CFS_ROLLBACK)
+    answer (g, r, CFS_CODE_TRANSACTION_LOST, CFS_NOT_RUN, NULL);
+  else
+    answer (g, r,
+            now >= r->deadline ? CFS_CODE_DEADLINE : CFS_CODE_CONNECTION_LOST,
+            ran == RAN_UNKNOWN ? CFS_UNKNOWN : CFS_NOT_RUN, NULL);
+}
+
+static void
+finish (struct cfs_gate *g, const struct gate_conn *conn,
+        struct cfs_request *r, const struct cfs_ran_result *res, int64_t now)
+{
+  switch (res->ran)
+    {
+    case RAN_OK:
+    case RAN_REPLAYED:
+      finish_ok (g, conn, r, res, now);
+      break;
+    case RAN_ERROR:
+      answer (g, r, CFS_CODE_SQL_ERROR, CFS_NOT_RUN, res->body);
+      break;
+    case RAN_KEY_REUSED:
+      g->ops->discard (g->ctx, res->body);
+      answer (g, r, CFS_CODE_KEY_REUSED, CFS_NOT_RUN, NULL);
+      break;
+    case RAN_LOCKED:
+      g->ops->discard (g->ctx, res->body);
+      r->attempts--;
+      if (!try_again (g, r, now))
+        answer (g, r, CFS_CODE_OVERLOADED, CFS_NOT_RUN, NULL);
+      break;
+    default:
+      g->ops->discard (g->ctx, res->body);
+      finish_lost (g, r, res->ran, now);
+      break;
+    }
+}
+
+/* What becomes of the connection after its work. */
+static void
+release_conn (struct cfs_gate *g, unsigned c, const struct gate_conn *before,
+              const struct cfs_ran_result *res, int64_t now)
+{
+  struct gate_conn *conn = &g->conn[c];
+  bool opens = before->work == WORK_BEGIN && res->ran == RAN_OK;
+  bool inside = before->work == WORK_STATEMENT
+                && (res->ran == RAN_OK || res->ran == RAN_ERROR);
+
+  conn->request = NULL;
+  if (!res->clean || g->inst[conn->inst].leaving)
+    {
+      if (!res->clean || !(opens || inside))
+        {
+          close_conn (g, c);
+          return;
+        }
+    }
+  g->inst[conn->inst].running--;
+  conn->state = opens || inside ? CONN_PINNED : CONN_IDLE;
+  conn->idle_since = now;
+  if (conn->state == CONN_IDLE && *conn->transaction)
+    {
+      g->inst[conn->inst].pinned--;
+      conn->transaction[0] = '\0';
+    }
+  if (opens)
+    {
+      const struct cfs_request *r = before->request;
+
+      cfs_copy (conn->transaction, sizeof conn->transaction, r->transaction);
+      cfs_copy (conn->team, sizeof conn->team, r->team);
+      g->inst[conn->inst].pinned++;
+    }
+}
+
+/* Transactions die with a failed statement as in PostgreSQL, so the pinned
+   connection stays until the caller ends it. */
+static void
+end_work (struct cfs_gate *g, unsigned c, const struct cfs_ran_result *res,
+          int64_t now)
+{
+  struct gate_conn before = g->conn[c];
+
+  cfs_fair_done (&g->fair, before.request, now - before.started_at);
+  release_conn (g, c, &before, res, now);
+  finish (g, &before, before.request, res, now);
+}
+
+/* Ends the work of a connection that is given up. */
+static void
+abort_conn (struct cfs_gate *g, unsigned c, int64_t now)
+{
+  struct cfs_ran_result res = { .ran = RAN_UNKNOWN };
+
+  if (g->conn[c].state == CONN_BUSY)
+    end_work (g, c, &res, now);
+  else
+    close_conn (g, c);
+}
+
+static void
+drop_connections (struct cfs_gate *g, int64_t now)
+{
+  for (unsigned c = 0; c < CONN_COUNT; c++)
+    if (g->conn[c].state != CONN_FREE)
+      abort_conn (g, c, now);
+}
+
+static bool
+any_request (void *ctx, struct cfs_request *r)
+{
+  (void)ctx;
+  (void)r;
+  return true;
+}
+
+/* Sends everything that waits back to where it came from. */
+static void
+turn_away (struct cfs_gate *g)
+{
+  for (int lane = 0; lane < CFS_LANE_COUNT; lane++)
+    {
+      struct cfs_request *r;
+
+      while ((
+          r = cfs_fair_pop (&g->fair, (enum cfs_lane)lane, any_request, NULL)))
+        answer (g, r, CFS_CODE_MOVED, given_up (r), NULL);
+    }
+}
+
+static int
+transaction_conn (const struct cfs_gate *g, const struct cfs_request *r)
+{
+  for (unsigned c = 0; c < CONN_COUNT; c++)
+    if (*g->conn[c].transaction
+        && strcmp (g->conn[c].transaction, r->transaction) == 0
+        && strcmp (g->conn[c].team, r->team) == 0)
+      return (int)c;
+  return -1;
+}
+
+static void
+submit_inside (struct cfs_gate *g, struct cfs_request *r, int64_t now)
+{
+  int c = transaction_conn (g, r);
+
+  if (c < 0)
+    answer (g, r, CFS_CODE_TRANSACTION_LOST, CFS_NOT_RUN, NULL);
+  else if (g->conn[c].state != CONN_PINNED)
+    answer (g, r, CFS_CODE_TRANSACTION_BUSY, CFS_NOT_RUN, NULL);
+  else if (g->phase != PHASE_SERVING || g->conn[c].term != g->group.term)
+    {
+      close_conn (g, (unsigned)c);
+      answer (g, r, CFS_CODE_TRANSACTION_LOST, CFS_NOT_RUN, NULL);
+    }
+  else
+    run (g, (unsigned)c, r, now);
+}
+
+static unsigned
+serving_slots (const struct cfs_gate *g, enum cfs_lane lane)
+{
+  int primary = gate_primary (g);
+  unsigned slots = 0;
+
+  for (unsigned i = 0; i < g->inst_count; i++)
+    if ((lane == CFS_LANE_WRITE) == ((int)i == primary))
+      slots += g->inst[i].slots;
+  return slots;
+}
+
+static void
+make_transaction_id (struct cfs_gate *g, struct cfs_request *r)
+{
+  snprintf (r->transaction, sizeof r->transaction, "%llx%016llx",
+            (unsigned long long)g->epoch,
+            (unsigned long long)cfs_random (&g->seed));
+}
+
+struct cfs_gate *
+cfs_gate_new (const struct cfs_gate_ops *ops, void *ctx, const char *group,
+              const struct cfs_gate_tuning *tuning, uint64_t seed)
+{
+  struct cfs_gate *g = cfs_alloc (sizeof *g);
+
+  g->ops = ops;
+  g->ctx = ctx;
+  cfs_copy (g->name, sizeof g->name, group);
+  g->tuning = *tuning;
+  g->seed = seed ? seed : 1;
+  g->size = 3;
+  g->retry_budget = tuning->retry_max;
+  cfs_fair_init (&g->fair, FAIR_VIRTUAL_TIME);
+  return g;
+}
+
+void
+cfs_gate_free (struct cfs_gate *g, int64_t now)
+{
+  if (!g)
+    return;
+  cfs_gate_assign (g, 0, now);
+  cfs_fair_end (&g->fair);
+  free (g->acks);
+  free (g);
+}
+
+void
+cfs_gate_assign (struct cfs_gate *g, uint64_t epoch, int64_t now)
+{
+  if (g->epoch == epoch)
+    return;
+  g->epoch = 0;
+  turn_away (g);
+  drop_connections (g, now);
+  gate_settle (g, now);
+  g->epoch = epoch;
+  g->draining = false;
+  g->used_term = 0;
+  promote_phase (g, PHASE_IDLE, now);
+}
+
+void
+cfs_gate_renew (struct cfs_gate *g, int64_t until, int64_t now)
+{
+  if (until > g->lease_until)
+    g->lease_until = until;
+  promote_tick (g, now);
+  dispatch (g, now);
+}
+
+void
+cfs_gate_configure (struct cfs_gate *g, unsigned size, bool ack_primary)
+{
+  g->size = size > g->inst_count ? size : g->inst_count;
+  g->ack_primary = ack_primary;
+}
+
+void
+cfs_gate_group (struct cfs_gate *g, const struct cfs_group *group, int64_t now)
+{
+  uint64_t old = g->group.term;
+
+  g->group = *group;
+  if (old == group->term)
+    return;
+  route_forget (g);
+  for (unsigned c = 0; c < CONN_COUNT; c++)
+    if (*g->conn[c].transaction)
+      abort_conn (g, c, now);
+  if (g->epoch)
+    promote_phase (g, PHASE_IDLE, now);
+  gate_settle (g, now);
+}
+
+void
+cfs_gate_instance (struct cfs_gate *g, const Cfs__Instance *in, int64_t now)
+{
+  struct gate_instance *row = NULL;
+
+  for (unsigned i = 0; i < g->inst_count && !row; i++)
+    if (strcmp (g->inst[i].name, in->name) == 0)
+      row = &g->inst[i];
+  if (!row && g->inst_count == GATE_INSTANCES_MAX)
+    return;
+  if (!row)
+    {
+      row = &g->inst[g->inst_count++];
+      memset (row, 0, sizeof *row);
+      cfs_copy (row->name, sizeof row->name, in->name);
+      if (g->size < g->inst_count)
+        g->size = g->inst_count;
+    }
+  cfs_copy (row->address, sizeof row->address, in->address);
+  row->port = in->port;
+  row->slots = in->slots ? in->slots : 1;
+  row->connections = in->connections ? in->connections : 1;
+  if (in->leaving && !row->leaving)
+    row->leaving_since = now;
+  row->leaving = in->leaving;
+}
+
+void
+cfs_gate_submit (struct cfs_gate *g, struct cfs_request *r, int64_t now)
+{
+  enum cfs_lane lane = lane_of (r);
+  int64_t wait;
+
+  g->stats.asked++;
+  r->arrived_at = now;
+  g->retry_budget += g->tuning.retry_ratio;
+  if (g->retry_budget > g->tuning.retry_max)
+    g->retry_budget = g->tuning.retry_max;
+  if (r->kind >= CFS_STATEMENT)
+    {
+      if (gate_leased (g, now))
+        submit_inside (g, r, now);
+      else
+        answer (g, r, CFS_CODE_MOVED, CFS_NOT_RUN, NULL);
+      return;
+    }
+  if (g->epoch == 0 || g->draining)
+    {
+      answer (g, r, CFS_CODE_MOVED, CFS_NOT_RUN, NULL);
+      return;
+    }
+  if (route_token (&g->group, r->token_term, r->token_position) == TOKEN_LOST)
+    {
+      answer (g, r, CFS_CODE_WRITE_LOST, CFS_NOT_RUN, NULL);
+      return;
+    }
+  wait = cfs_fair_wait (&g->fair, r->team, r->weight, serving_slots (g, lane));
+  if (wait > r->deadline - now)
+    {
+      answer (g, r, CFS_CODE_OVERLOADED, CFS_NOT_RUN, NULL);
+      return;
+    }
+  if (r->kind == CFS_BEGIN)
+    make_transaction_id (g, r);
+  if (cfs_fair_push (&g->fair, lane, r) != CFS_OK)
+    answer (g, r, CFS_CODE_OVERLOADED, CFS_NOT_RUN, NULL);
+  else
+    dispatch (g, now);
+}
+
+void
+cfs_gate_connected (struct cfs_gate *g, unsigned c, int64_t now)
+{
+  if (g->conn[c].state != CONN_OPENING)
+    return;
+  g->conn[c].state = CONN_IDLE;
+  g->conn[c].idle_since = now;
+  dispatch (g, now);
+}
+
+void
+cfs_gate_lost (struct cfs_gate *g, unsigned c, int64_t now)
+{
+  struct gate_conn *conn = &g->conn[c];
+
+  if (conn->state == CONN_FREE)
+    return;
+  g->inst[conn->inst].connect_after = now + RECONNECT_US;
+  abort_conn (g, c, now);
+}
+
+void
+cfs_gate_ran (struct cfs_gate *g, unsigned c, const struct cfs_ran_result *res,
+              int64_t now)
+{
+  if (g->conn[c].state != CONN_BUSY)
+    {
+      g->ops->discard (g->ctx, res->body);
+      return;
+    }
+  if (!res->clean)
+    g->inst[g->conn[c].inst].connect_after = now + RECONNECT_US;
+  end_work (g, c, res, now);
+  dispatch (g, now);
+}
+
+void
+cfs_gate_probed (struct cfs_gate *g, unsigned inst, uint64_t term,
+                 uint64_t position, uint64_t start, bool primary,
+                 int64_t sent_at, int64_t now)
+{
+  struct gate_instance *in = &g->inst[inst];
+
+  if (inst >= g->inst_count)
+    return;
+  in->term = term;
+  in->position = position;
+  in->start = start;
+  in->primary = primary;
+  in->probed_at = now;
+  in->probe_sent_at = sent_at;
+  if ((int)inst == gate_primary (g) && primary && term == g->group.term)
+    route_sample (g, position, sent_at);
+  gate_settle (g, now);
+  promote_tick (g, now);
+  dispatch (g, now);
+}
+
+static void
+send_probes (struct cfs_gate *g, int64_t now)
+{
+  int primary = gate_primary (g);
+
+  for (unsigned i = 0; i < g->inst_count; i++)
+    {
+      struct gate_instance *in = &g->inst[i];
+      bool fast
+          = g->phase > PHASE_SERVING || (g->ack_count && (int)i != primary);
+      int64_t every = fast ? g->tuning.probe_fast_us : g->tuning.probe_us;
+
+      if (now - in->asked_at < every)
+        continue;
+      in->asked_at = now;
+      g->ops->probe (g->ctx, i);
+    }
+}
+
+static void
+check_connections (struct cfs_gate *g, int64_t now)
+{
+  for (unsigned c = 0; c < CONN_COUNT; c++)
+    {
+      const struct gate_conn *conn = &g->conn[c];
+
+      if (conn->state == CONN_BUSY && now >= conn->request->deadline)
+        abort_conn (g, c, now);
+      else if (conn->state == CONN_PINNED
+               && now - conn->idle_since > g->tuning.transaction_us)
+        close_conn (g, c);
+      else if (conn->state == CONN_IDLE && g->inst[conn->inst].leaving)
+        close_conn (g, c);
+    }
+}
+
+/* Keeps as many connections open as an instance has slots. */
+static void
+warm_connections (struct cfs_gate *g, int64_t now)
+{
+  for (unsigned i = 0; i < g->inst_count; i++)
+    if (!g->inst[i].leaving && g->inst[i].open < g->inst[i].slots)
+      open_conn (g, i, now);
+}
+
+void
+cfs_gate_tick (struct cfs_gate *g, int64_t now)
+{
+  struct cfs_request *r;
+
+  if (g->ticked_at && now - g->ticked_at > g->tuning.pause_us)
+    g->pause_base = now;
+  g->ticked_at = now;
+  while ((r = cfs_fair_expire (&g->fair, now)))
+    answer (g, r, CFS_CODE_DEADLINE, given_up (r), NULL);
+  gate_settle (g, now);
+  if (!gate_leased (g, now))
+    return;
+  check_connections (g, now);
+  send_probes (g, now);
+  warm_connections (g, now);
+  promote_tick (g, now);
+  dispatch (g, now);
+}
+
+bool
+cfs_gate_drain (struct cfs_gate *g, int64_t now)
+{
+  g->draining = true;
+  turn_away (g);
+  gate_settle (g, now);
+  if (g->ack_count)
+    return false;
+  for (unsigned c = 0; c < CONN_COUNT; c++)
+    if (g->conn[c].state == CONN_BUSY || g->conn[c].state == CONN_PINNED)
+      return false;
+  return true;
+}
+
+bool
+cfs_gate_report (struct cfs_gate *g, Cfs__GroupReport *out)
+{
+  cfs__group_report__init (out);
+  out->group = g->name;
+  out->epoch = g->epoch;
+  out->used_term = g->used_term;
+  out->want_term = g->phase == PHASE_ASKING;
+  if (g->phase == PHASE_CONFIRMING)
+    {
+      out->promoted_term = g->group.granted_term;
+      out->start = g->promoted_start;
+      out->primary = g->inst[g->chosen].name;
+    }
+  return out->want_term || out->promoted_term;
+}
+
+uint64_t
+cfs_gate_epoch (const struct cfs_gate *g)
+{
+  return g->epoch;
+}
+
+bool
+cfs_gate_serving (const struct cfs_gate *g, int64_t now)
+{
+  return gate_leased (g, now) && g->phase == PHASE_SERVING;
+}
+
+const struct cfs_gate_stats *
+cfs_gate_stats (const struct cfs_gate *g)
+{
+  return &g->stats;
+}
+
+const char *
+cfs_gate_address (const struct cfs_gate *g, unsigned inst, uint32_t *port)
+{
+  *port = g->inst[inst].port;
+  return g->inst[inst].address;
+}
+
+unsigned
+cfs_gate_instances (const struct cfs_gate *g)
+{
+  return g->inst_count;
+}
+
+const char *
+cfs_gate_name (const struct cfs_gate *g, unsigned inst)
+{
+  return g->inst[inst].name;
+}
--- /dev/null
+++ b/src/request/gates.c
@@ -0,0 +1,574 @@
+/*
+ * One row per group and per team that this host has held.  Rows stay when a
+ * lease leaves, so that an answer under way always finds its gate.
+ */
+#include "gates.h"
+
+#include "../connection/pg.h"
+#include "../process/log.h"
+#include "gate.h"
+#include "limit.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PART "gate"
+#define GATE_PREFIX "gate/"
+#define LIMIT_PREFIX "limit/"
+#define DIGEST_BYTES 32
+#define PARAMS_MAX 64
+
+/* A statement at this gate, from an entry host's message to its answer. */
+struct job
+{
+  struct cfs_request request;
+  struct cfs_origin origin;
+  uint64_t id;
+  struct cfs_gates *gates;
+  char *text;
+  char **params;
+  struct cfs_sql sql;
+};
+
+struct gate_row
+{
+  char name[CFS_NAME_MAX];
+  struct cfs_gate *gate;
+  struct cfs_pg *pg;
+  struct cfs_gates *owner;
+  bool released;
+  uint64_t released_epoch;
+  bool serving;
+};
+
+struct limit_row
+{
+  char name[CFS_NAME_MAX];
+  struct cfs_bucket bucket;
+  uint64_t epoch;
+  bool released;
+  uint64_t granted;
+};
+
+struct cfs_gates
+{
+  struct cfs_gates_setup setup;
+  struct gate_row **gates;
+  size_t count;
+  size_t cap;
+  struct cfs_table limits;
+  Cfs__GroupReport *reports;
+  Cfs__GroupReport **report_list;
+  Cfs__Release *releases;
+  Cfs__Release **release_list;
+  char (*release_names)[CFS_NAME_MAX];
+  size_t room;
+};
+
+static const struct cfs_sql *
+job_statement (const struct cfs_request *r)
+{
+  return &((const struct job *)r->payload)->sql;
+}
+
+static void
+free_job (struct job *j)
+{
+  for (int i = 0; i < j->sql.param_count; i++)
+    free (j->params[i]);
+  free (j->params);
+  free (j->text);
+  free (j);
+}
+
+static void
+do_connect (void *ctx, unsigned conn, unsigned inst)
+{
+  cfs_pg_connect (((struct gate_row *)ctx)->pg, conn, inst);
+}
+
+static void
+do_close (void *ctx, unsigned conn)
+{
+  cfs_pg_close (((struct gate_row *)ctx)->pg, conn);
+}
+
+static void
+do_run (void *ctx, unsigned conn, enum cfs_work work, struct cfs_request *r)
+{
+  cfs_pg_run (((struct gate_row *)ctx)->pg, conn, work, r);
+}
+
+static void
+do_probe (void *ctx, unsigned inst)
+{
+  cfs_pg_probe (((struct gate_row *)ctx)->pg, inst);
+}
+
+static void
+do_promote (void *ctx, unsigned inst, uint64_t term)
+{
+  struct gate_row *row = ctx;
+
+  cfs_log (CFS_NOTICE, PART, "%s: orders %s to lead in term %" PRIu64,
+           row->name, cfs_gate_name (row->gate, inst), term);
+  cfs_pg_promote (row->pg, inst, term);
+}
+
+static void
+do_discard (void *ctx, void *body)
+{
+  (void)ctx;
+  free (body);
+}
+
+static void
+do_answer (void *ctx, struct cfs_request *r, const struct cfs_verdict *v)
+{
+  struct gate_row *row = ctx;
+  struct job *j = r->payload;
+  Cfs__Peer out = CFS__PEER__INIT;
+  Cfs__Answer a = CFS__ANSWER__INIT;
+
+  a.id = j->id;
+  a.code = v->code;
+  a.outcome = v->outcome;
+  a.body = v->body ? v->body : (char *)"";
+  a.term = v->term;
+  a.position = v->position;
+  a.transaction = r->transaction;
+  a.replica = v->replica;
+  out.body_case = CFS__PEER__BODY_ANSWER;
+  out.answer = &a;
+  cfs_net_reply (row->owner->setup.net, &j->origin, &out);
+  free (v->body);
+  free_job (j);
+}
+
+static const struct cfs_gate_ops gate_ops
+    = { do_connect, do_close,   do_run,    do_answer,
+        do_probe,   do_promote, do_discard };
+
+struct cfs_gates *
+cfs_gates_new (const struct cfs_gates_setup *setup)
+{
+  struct cfs_gates *g = cfs_alloc (sizeof *g);
+
+  g->setup = *setup;
+  cfs_table_init (&g->limits, sizeof (struct limit_row));
+  return g;
+}
+
+void
+cfs_gates_free (struct cfs_gates *g)
+{
+  if (!g)
+    return;
+  for (size_t i = 0; i < g->count; i++)
+    {
+      cfs_gate_free (g->gates[i]->gate, cfs_now ());
+      cfs_pg_free (g->gates[i]->pg);
+      free (g->gates[i]);
+    }
+  free (g->gates);
+  free (g->reports);
+  free (g->report_list);
+  free (g->releases);
+  free (g->release_list);
+  free (g->release_names);
+  cfs_table_end (&g->limits);
+  free (g);
+}
+
+static struct gate_row *
+find_gate (const struct cfs_gates *g, const char *name)
+{
+  for (size_t i = 0; i < g->count; i++)
+    if (strcmp (g->gates[i]->name, name) == 0)
+      return g->gates[i];
+  return NULL;
+}
+
+static struct gate_row *
+make_gate (struct cfs_gates *g, const char *name)
+{
+  const struct cfs_settings *s = g->setup.settings;
+  struct gate_row *row = cfs_alloc (sizeof *row);
+  struct cfs_pg_setup pg = { .loop = g->setup.loop,
+                             .platform = &cfs_platform_sql,
+                             .user = s->target_user,
+                             .database = s->target_database,
+                             .password = s->target_password,
+                             .statement = job_statement };
+  uint64_t seed;
+
+  randombytes_buf (&seed, sizeof seed);
+  cfs_copy (row->name, sizeof row->name, name);
+  row->owner = g;
+  row->pg = cfs_pg_new (&pg);
+  row->gate = cfs_gate_new (&gate_ops, row, name, &cfs_gate_defaults, seed);
+  cfs_pg_attach (row->pg, row->gate);
+  cfs_grow (&g->gates, &g->cap, g->count, sizeof *g->gates);
+  g->gates[g->count++] = row;
+  return row;
+}
+
+static void
+configure_gate (const struct cfs_gates *g, struct gate_row *row)
+{
+  const struct cfs_group_conf *c = NULL;
+
+  if (g->setup.directory->conf)
+    c = cfs_conf_group (g->setup.directory->conf, row->name);
+  cfs_gate_configure (row->gate, c ? c->size : CFS_GROUP_SIZE,
+                      c && c->ack_primary);
+}
+
+static void
+follow_gate (struct cfs_gates *g, const struct cfs_lease *lease, int64_t now)
+{
+  const char *name = lease->resource + strlen (GATE_PREFIX);
+  bool own = cfs_directory_is_own (g->setup.directory, lease);
+  struct gate_row *row = find_gate (g, name);
+  uint64_t epoch = own ? lease->epoch : 0;
+
+  if (!row && !own)
+    return;
+  if (!row)
+    row = make_gate (g, name);
+  if (cfs_gate_epoch (row->gate) == epoch)
+    return;
+  if (own && row->released && row->released_epoch == epoch)
+    return;
+  row->released = false;
+  configure_gate (g, row);
+  cfs_gate_assign (row->gate, epoch, now);
+  cfs_log (CFS_NOTICE, PART,
+           own ? "%s: held in epoch %" PRIu64
+               : "%s: given up before epoch %" PRIu64,
+           name, lease->epoch);
+}
+
+static void
+follow_limit (struct cfs_gates *g, const struct cfs_lease *lease, int64_t now)
+{
+  const char *name = lease->resource + strlen (LIMIT_PREFIX);
+  const struct cfs_conf *conf = g->setup.directory->conf;
+  const struct cfs_team *team = conf ? cfs_conf_team (conf, name) : NULL;
+  bool own = cfs_directory_is_own (g->setup.directory, lease) && team;
+  struct limit_row *row;
+
+  if (!own && !cfs_table_find (&g->limits, name))
+    return;
+  row = cfs_table_add (&g->limits, name);
+  if (!own)
+    row->epoch = 0;
+  else if (row->epoch != lease->epoch)
+    {
+      row->epoch = lease->epoch;
+      row->released = false;
+      cfs_bucket_init (&row->bucket, team->rate, team->burst,
+                       lease->epoch == 1, now);
+    }
+  else
+    cfs_bucket_change (&row->bucket, team->rate, team->burst, now);
+}
+
+void
+cfs_gates_follow (struct cfs_gates *g, const Cfs__HeartbeatReply *reply,
+                  int64_t now)
+{
+  const struct cfs_directory *d = g->setup.directory;
+
+  for (size_t i = 0; i < d->leases.count; i++)
+    {
+      const struct cfs_lease *l = cfs_table_at (&d->leases, i);
+
+      if (strncmp (l->resource, GATE_PREFIX, strlen (GATE_PREFIX)) == 0)
+        follow_gate (g, l, now);
+      else
+        follow_limit (g, l, now);
+    }
+  for (size_t i = 0; i < reply->n_instances; i++)
+    cfs_gates_announce (g, reply->instances[i], now);
+  for (size_t i = 0; i < g->count; i++)
+    {
+      struct gate_row *row = g->gates[i];
+      const struct cfs_group *group = cfs_table_find (&d->groups, row->name);
+
+      configure_gate (g, row);
+      if (group)
+        cfs_gate_group (row->gate, group, now);
+      cfs_gate_renew (row->gate, d->lease_until, now);
+    }
+}
+
+static void
+make_digest (struct job *j, const Cfs__Execute *in)
+{
+  unsigned char hash[DIGEST_BYTES];
+  crypto_generichash_state st;
+
+  crypto_generichash_init (&st, NULL, 0, sizeof hash);
+  crypto_generichash_update (&st, (unsigned char *)j->text,
+                             strlen (j->text) + 1);
+  for (size_t i = 0; i < in->n_params; i++)
+    {
+      const Cfs__Param *p = in->params[i];
+      unsigned char null = p->null;
+
+      crypto_generichash_update (&st, &null, 1);
+      crypto_generichash_update (&st, (unsigned char *)p->text,
+                                 strlen (p->text) + 1);
+    }
+  crypto_generichash_final (&st, hash, sizeof hash);
+  sodium_bin2hex (j->sql.digest, sizeof j->sql.digest, hash, sizeof hash);
+}
+
+static struct job *
+make_job (struct cfs_gates *g, const struct cfs_origin *from,
+          const Cfs__Execute *in, int64_t now)
+{
+  struct job *j = cfs_alloc (sizeof *j);
+  struct cfs_request *r = &j->request;
+
+  j->gates = g;
+  j->origin = *from;
+  j->id = in->id;
+  j->text = cfs_strdup (in->sql);
+  j->params = cfs_alloc (in->n_params * sizeof *j->params);
+  for (size_t i = 0; i < in->n_params; i++)
+    j->params[i]
+        = in->params[i]->null ? NULL : cfs_strdup (in->params[i]->text);
+  j->sql.text = j->text;
+  j->sql.params = (const char *const *)j->params;
+  j->sql.param_count = (int)in->n_params;
+  make_digest (j, in);
+  r->payload = j;
+  cfs_copy (r->team, sizeof r->team, in->team);
+  r->weight = in->weight;
+  r->kind = (enum cfs_kind)in->kind;
+  r->deadline = now + (int64_t)in->budget_us;
+  r->max_age_us = (int64_t)in->max_age_us;
+  r->token_term = in->token_term;
+  r->token_position = in->token_position;
+  cfs_copy (r->key, sizeof r->key, in->idempotency_key);
+  cfs_copy (r->transaction, sizeof r->transaction, in->transaction);
+  r->once = in->once;
+  return j;
+}
+
+static void
+refuse (struct cfs_gates *g, const struct cfs_origin *to, uint64_t id,
+        enum cfs_code code)
+{
+  Cfs__Peer out = CFS__PEER__INIT;
+  Cfs__Answer a = CFS__ANSWER__INIT;
+
+  a.id = id;
+  a.code = code;
+  a.outcome = CFS_NOT_RUN;
+  out.body_case = CFS__PEER__BODY_ANSWER;
+  out.answer = &a;
+  cfs_net_reply (g->setup.net, to, &out);
+}
+
+void
+cfs_gates_execute (struct cfs_gates *g, const struct cfs_origin *from,
+                   const Cfs__Execute *in, int64_t now)
+{
+  struct gate_row *row = find_gate (g, in->group);
+
+  if (in->kind >= CFS_KIND_COUNT || in->n_params > PARAMS_MAX)
+    {
+      refuse (g, from, in->id, CFS_CODE_BAD_REQUEST);
+      return;
+    }
+  if (!row || cfs_gate_epoch (row->gate) != in->epoch)
+    {
+      refuse (g, from, in->id, CFS_CODE_MOVED);
+      return;
+    }
+  cfs_gate_submit (row->gate, &make_job (g, from, in, now)->request, now);
+}
+
+void
+cfs_gates_ask (struct cfs_gates *g, const struct cfs_origin *from,
+               const Cfs__TokenAsk *in, int64_t now)
+{
+  struct limit_row *row = cfs_table_find (&g->limits, in->team);
+  Cfs__Peer out = CFS__PEER__INIT;
+  Cfs__TokenGrant grant = CFS__TOKEN_GRANT__INIT;
+  int64_t retry = 0;
+
+  grant.id = in->id;
+  grant.team = in->team;
+  grant.moved = !row || row->released || row->epoch != in->epoch
+                || !cfs_directory_leased (g->setup.directory, now);
+  if (!grant.moved)
+    {
+      grant.count = cfs_bucket_take (&row->bucket, in->count, now, &retry);
+      grant.retry_us = (uint64_t)retry;
+      row->granted += grant.count;
+    }
+  out.body_case = CFS__PEER__BODY_GRANT;
+  out.grant = &grant;
+  cfs_net_reply (g->setup.net, from, &out);
+}
+
+void
+cfs_gates_announce (struct cfs_gates *g, const Cfs__Instance *in, int64_t now)
+{
+  struct gate_row *row = find_gate (g, in->group);
+
+  if (row)
+    cfs_gate_instance (row->gate, in, now);
+}
+
+static void
+log_serving (struct gate_row *row, int64_t now)
+{
+  bool serving = cfs_gate_serving (row->gate, now);
+
+  if (serving == row->serving)
+    return;
+  row->serving = serving;
+  cfs_log (CFS_NOTICE, PART, "%s: %s", row->name,
+           serving ? "writes are served" : "writes are held back");
+}
+
+void
+cfs_gates_tick (struct cfs_gates *g, int64_t now)
+{
+  for (size_t i = 0; i < g->count; i++)
+    {
+      cfs_pg_pump (g->gates[i]->pg);
+      cfs_pg_tick (g->gates[i]->pg, now);
+      cfs_gate_tick (g->gates[i]->gate, now);
+      log_serving (g->gates[i], now);
+    }
+}
+
+static void
+reserve_reports (struct cfs_gates *g)
+{
+  size_t need = g->count + g->limits.count;
+
+  if (need <= g->room)
+    return;
+  free (g->reports);
+  free (g->report_list);
+  free (g->releases);
+  free (g->release_list);
+  free (g->release_names);
+  g->room = need * 2;
+  g->reports = cfs_alloc (g->room * sizeof *g->reports);
+  g->report_list = cfs_alloc (g->room * sizeof *g->report_list);
+  g->releases = cfs_alloc (g->room * sizeof *g->releases);
+  g->release_list = cfs_alloc (g->room * sizeof *g->release_list);
+  g->release_names = cfs_alloc (g->room * sizeof *g->release_names);
+}
+
+static void
+add_release (struct cfs_gates *g, const char *prefix, const char *name,
+             uint64_t epoch, Cfs__Heartbeat *out)
+{
+  size_t n = out->n_released;
+
+  g_snprintf (g->release_names[n], CFS_NAME_MAX, "%s%s", prefix, name);
+  cfs__release__init (&g->releases[n]);
+  g->releases[n].resource = g->release_names[n];
+  g->releases[n].epoch = epoch;
+  g->release_list[n] = &g->releases[n];
+  out->n_released++;
+}
+
+static void
+report_gate (struct cfs_gates *g, struct gate_row *row, bool drain,
+             Cfs__Heartbeat *out, int64_t now)
+{
+  uint64_t epoch = cfs_gate_epoch (row->gate);
+
+  if (epoch && drain && cfs_gate_drain (row->gate, now))
+    {
+      row->released = true;
+      row->released_epoch = epoch;
+      cfs_gate_assign (row->gate, 0, now);
+      cfs_log (CFS_NOTICE, PART, "%s: released", row->name);
+    }
+  if (row->released)
+    add_release (g, GATE_PREFIX, row->name, row->released_epoch, out);
+  else if (epoch && cfs_gate_report (row->gate, &g->reports[out->n_reports]))
+    {
+      g->report_list[out->n_reports] = &g->reports[out->n_reports];
+      out->n_reports++;
+    }
+}
+
+void
+cfs_gates_report (struct cfs_gates *g, bool drain, Cfs__Heartbeat *out,
+                  int64_t now)
+{
+  reserve_reports (g);
+  for (size_t i = 0; i < g->count; i++)
+    report_gate (g, g->gates[i], drain, out, now);
+  for (size_t i = 0; i < g->limits.count; i++)
+    {
+      struct limit_row *row = cfs_table_at (&g->limits, i);
+
+      if (!drain || row->epoch == 0)
+        continue;
+      row->released = true;
+      add_release (g, LIMIT_PREFIX, row->name, row->epoch, out);
+    }
+  out->reports = g->report_list;
+  out->released = g->release_list;
+}
+
+size_t
+cfs_gates_held (const struct cfs_gates *g)
+{
+  size_t held = 0;
+
+  for (size_t i = 0; i < g->count; i++)
+    held += cfs_gate_epoch (g->gates[i]->gate) != 0;
+  return held;
+}
+
+void
+cfs_gates_metrics (const struct cfs_gates *g, GString *out, int64_t now)
+{
+  for (size_t i = 0; i < g->count; i++)
+    {
+      const struct cfs_gate_stats *s = cfs_gate_stats (g->gates[i]->gate);
+      const char *n = g->gates[i]->name;
+
+      g_string_append_printf (
+          out,
+          "coltsfootstage_gate_serving{group=\"%s\"} %d\n"
+          "coltsfootstage_gate_reads_total{group=\"%s\",at=\"replica\"} "
+          "%" PRIu64 "\n"
+          "coltsfootstage_gate_reads_total{group=\"%s\",at=\"primary\"} "
+          "%" PRIu64 "\n"
+          "coltsfootstage_gate_writes_total{group=\"%s\"} %" PRIu64 "\n"
+          "coltsfootstage_gate_asked_total{group=\"%s\"} %" PRIu64 "\n"
+          "coltsfootstage_gate_sent_total{group=\"%s\"} %" PRIu64 "\n"
+          "coltsfootstage_gate_retries_total{group=\"%s\"} %" PRIu64 "\n"
+          "coltsfootstage_gate_refused_total{group=\"%s\"} %" PRIu64 "\n"
+          "coltsfootstage_gate_connects_total{group=\"%s\"} %" PRIu64 "\n"
+          "coltsfootstage_gate_promotions_total{group=\"%s\"} %" PRIu64 "\n",
+          n, cfs_gate_serving (g->gates[i]->gate, now), n, s->reads_replica, n,
+          s->reads_primary, n, s->writes, n, s->asked, n, s->sent, n,
+          s->retries, n, s->refused, n, s->connects, n, s->promotions);
+    }
+  for (size_t i = 0; i < g->limits.count; i++)
+    {
+      const struct limit_row *row = cfs_table_at (&g->limits, i);
+
+      g_string_append_printf (
+          out, "coltsfootstage_limit_granted_total{team=\"%s\"} %" PRIu64 "\n",
+          row->name, row->granted);
+    }
+}
--- /dev/null
+++ b/src/request/operate.c
@@ -0,0 +1,262 @@
+/*
+ * Calls of operators go to the control leader; announcements of targets go
+ * to the gate of their group at once and, when something but the position
+ * changed or some time has passed, to the control leader.
+ */
+#include "entry_int.h"
+
+#include "../process/control.h"
+#include "../version/schema.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ANNOUNCE_REFRESH_US (2 * CFS_US_PER_S)
+#define HTTP_OK 200
+#define HTTP_PRECONDITION_REQUIRED 428
+#define HTTP_METHOD 405
+#define END_ROW                                                               \
+  {                                                                           \
+    NULL, FIELD_BOOL, 0, 0, NULL, false, NULL                                 \
+  }
+
+static const struct cfs_field announce_fields[]
+    = { { "instance", FIELD_NAME, 1, 48, NULL, true, NULL },
+        { "group", FIELD_NAME, 1, 48, NULL, true, NULL },
+        { "zone", FIELD_NAME, 1, 48, NULL, true, NULL },
+        { "address", FIELD_ADDRESS, 0, 0, NULL, true, NULL },
+        { "port", FIELD_INTEGER, 1, 65535, NULL, true, NULL },
+        { "slots", FIELD_INTEGER, 1, 1000, "statements", true, NULL },
+        { "connections", FIELD_INTEGER, 1, 10000, "connections", true, NULL },
+        { "term", FIELD_INTEGER, 0, 9e15, NULL, true, NULL },
+        { "role", FIELD_NAME, 1, 16, NULL, true, NULL },
+        { "position", FIELD_INTEGER, 0, 9e15, NULL, true, NULL },
+        { "leaving", FIELD_BOOL, 0, 0, NULL, false, NULL },
+        END_ROW };
+
+static bool
+key_matches (const char *bearer, const unsigned char *expected)
+{
+  unsigned char hash[CFS_HASH_BYTES];
+
+  if (!bearer)
+    return false;
+  cfs_secret_hash (bearer, hash);
+  return sodium_memcmp (hash, expected, sizeof hash) == 0;
+}
+
+static void
+fill_instance (const cJSON *doc, Cfs__Instance *in)
+{
+  cfs__instance__init (in);
+  in->name = (char *)cfs_json_string (doc, "instance", "");
+  in->group = (char *)cfs_json_string (doc, "group", "");
+  in->zone = (char *)cfs_json_string (doc, "zone", "");
+  in->address = (char *)cfs_json_string (doc, "address", "");
+  in->port = (uint32_t)cfs_json_number (doc, "port", 0);
+  in->slots = (uint32_t)cfs_json_number (doc, "slots", 1);
+  in->connections = (uint32_t)cfs_json_number (doc, "connections", 1);
+  in->term = (uint64_t)cfs_json_number (doc, "term", 0);
+  in->position = (uint64_t)cfs_json_number (doc, "position", 0);
+  in->primary = strcmp (cfs_json_string (doc, "role", ""), "primary") == 0;
+  in->leaving
+      = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (doc, "leaving"));
+}
+
+/* Hash of all but the position. */
+static uint64_t
+digest_of (const Cfs__Instance *in)
+{
+  Cfs__Instance copy = *in;
+  uint8_t data[512];
+  size_t len;
+
+  copy.position = 0;
+  len = cfs__instance__get_packed_size (&copy);
+  if (len > sizeof data)
+    return 0;
+  cfs__instance__pack (&copy, data);
+  return cfs_hash (data, len, 3);
+}
+
+static void
+pass_to_leader (struct cfs_entry *e, const Cfs__Instance *in, int64_t now)
+{
+  struct announce_row *row = cfs_table_add (&e->announced, in->name);
+  uint64_t digest = digest_of (in);
+  Cfs__Peer out = CFS__PEER__INIT;
+  Cfs__Heartbeat h = CFS__HEARTBEAT__INIT;
+  Cfs__Instance *list[1] = { (Cfs__Instance *)in };
+
+  if (row->digest == digest && now - row->at < ANNOUNCE_REFRESH_US)
+    return;
+  row->digest = digest;
+  row->at = now;
+  h.instances = list;
+  h.n_instances = 1;
+  out.body_case = CFS__PEER__BODY_HEARTBEAT;
+  out.heartbeat = &h;
+  e->setup.to_control (e->setup.ctx, &out);
+}
+
+static void
+pass_to_gate (struct cfs_entry *e, const Cfs__Instance *in)
+{
+  const struct cfs_lease *gate
+      = cfs_directory_holder (e->setup.directory, GATE_PREFIX, in->group);
+  Cfs__Peer out = CFS__PEER__INIT;
+
+  if (!gate)
+    return;
+  out.body_case = CFS__PEER__BODY_ANNOUNCE;
+  out.announce = (Cfs__Instance *)in;
+  cfs_net_send (e->setup.net, gate->address, gate->port, &out);
+}
+
+static void
+take_announcement (struct cfs_entry *e, struct cfs_call *call)
+{
+  struct cfs_answer ok = { .status = HTTP_OK, .body = "{}" };
+  GError *error = NULL;
+  cJSON *doc;
+  Cfs__Instance in;
+
+  if (!key_matches (entry_bearer (call), e->setup.settings->announce_hash))
+    {
+      entry_problem (e, call, CFS_CODE_UNAUTHENTICATED, CFS_NOT_RUN,
+                     "not the key of targets");
+      return;
+    }
+  doc = cfs_json_parse (cfs_call_body (call), "body", &error);
+  if (!doc || !cfs_schema_check (doc, announce_fields, "body", &error))
+    entry_problem (e, call, CFS_CODE_BAD_REQUEST, CFS_NOT_RUN, error->message);
+  else
+    {
+      fill_instance (doc, &in);
+      pass_to_gate (e, &in);
+      pass_to_leader (e, &in, cfs_now ());
+      cfs_call_answer (call, &ok);
+    }
+  g_clear_error (&error);
+  cJSON_Delete (doc);
+}
+
+/* Version of If-Match: "N"; returns false when it is malformed. */
+static bool
+read_if_match (const struct cfs_call *call, uint64_t *version)
+{
+  const char *text = cfs_call_header (call, "If-Match");
+  char *end;
+
+  if (!text || text[0] != '"' || text[1] < '0' || text[1] > '9')
+    return false;
+  *version = strtoull (text + 1, &end, 10);
+  return strcmp (end, "\"") == 0;
+}
+
+static void
+forward (struct cfs_entry *e, struct cfs_call *call,
+         enum cfs_operator_kind kind, uint64_t version)
+{
+  const char *request_id = cfs_call_header (call, "Request-Id");
+  const char *who = cfs_call_header (call, "Operator");
+  Cfs__Peer out = CFS__PEER__INIT;
+  Cfs__OperatorCall m = CFS__OPERATOR_CALL__INIT;
+  struct operator_call *row;
+  char own_id[24];
+
+  cfs_grow (&e->calls, &e->call_cap, e->call_count, sizeof *e->calls);
+  row = &e->calls[e->call_count++];
+  row->id = entry_id (e);
+  row->call = call;
+  g_snprintf (own_id, sizeof own_id, "%" PRIx64, row->id);
+  m.id = row->id;
+  m.kind = kind;
+  m.base_version = version;
+  m.body = (char *)cfs_call_body (call);
+  m.who = (char *)(who ? who : "operator");
+  m.request_id = (char *)(request_id ? request_id : own_id);
+  out.body_case = CFS__PEER__BODY_CALL;
+  out.call = &m;
+  e->setup.to_control (e->setup.ctx, &out);
+}
+
+static void
+config_request (struct cfs_entry *e, struct cfs_call *call)
+{
+  const char *method = cfs_call_method (call);
+  struct cfs_answer refused = { .status = HTTP_METHOD, .body = "{}" };
+  uint64_t version = 0;
+  GError *error = NULL;
+  cJSON *doc;
+
+  if (strcmp (method, "GET") == 0)
+    {
+      forward (e, call, OPERATOR_CONFIG, 0);
+      return;
+    }
+  if (strcmp (method, "PATCH") != 0)
+    {
+      cfs_call_answer (call, &refused);
+      return;
+    }
+  if (!read_if_match (call, &version))
+    {
+      refused.status = HTTP_PRECONDITION_REQUIRED;
+      refused.body = "{\"detail\":\"If-Match: \\\"N\\\" is required\"}";
+      cfs_call_answer (call, &refused);
+      return;
+    }
+  doc = cfs_json_parse (cfs_call_body (call), "patch", &error);
+  if (doc)
+    forward (e, call, OPERATOR_PATCH, version);
+  else
+    entry_problem (e, call, CFS_CODE_BAD_REQUEST, CFS_NOT_RUN, error->message);
+  g_clear_error (&error);
+  cJSON_Delete (doc);
+}
+
+void
+operate_request (struct cfs_entry *e, struct cfs_call *call, const char *what)
+{
+  if (strcmp (what, "announce") == 0)
+    {
+      take_announcement (e, call);
+      return;
+    }
+  if (!key_matches (entry_bearer (call), e->setup.settings->operator_hash))
+    entry_problem (e, call, CFS_CODE_UNAUTHENTICATED, CFS_NOT_RUN,
+                   "not the key of operators");
+  else if (strcmp (what, "config") == 0)
+    config_request (e, call);
+  else if (strcmp (what, "drain") == 0)
+    {
+      struct cfs_answer ok = { .status = HTTP_OK, .body = "{}" };
+
+      e->setup.stop (e->setup.ctx);
+      cfs_call_answer (call, &ok);
+    }
+  else
+    forward (e, call,
+             strcmp (what, "audit") == 0 ? OPERATOR_AUDIT : OPERATOR_STATUS,
+             0);
+}
+
+void
+cfs_entry_called (struct cfs_entry *e, const Cfs__OperatorReply *in)
+{
+  struct cfs_answer a = { .status = in->status, .body = in->body };
+  char etag[32];
+
+  g_snprintf (etag, sizeof etag, "\"%" PRIu64 "\"", in->version);
+  a.etag = etag;
+  for (size_t i = 0; i < e->call_count; i++)
+    if (e->calls[i].id == in->id)
+      {
+        cfs_call_answer (e->calls[i].call, &a);
+        e->calls[i] = e->calls[--e->call_count];
+        return;
+      }
+}
--- /dev/null
+++ b/src/request/promote.c
@@ -0,0 +1,191 @@
+/*
+ * Replacing a primary.  The gate freezes itself first, so no separate
+ * freeze has to be acknowledged; the control group then grants a term that
+ * nobody else can get; positions of a majority show the instance that holds
+ * every acknowledged write; it is ordered to lead; and writes resume only
+ * once the control group has recorded the term and its starting position.
+ */
+#include "gate_int.h"
+
+void
+promote_phase (struct cfs_gate *g, enum cfs_gate_phase phase, int64_t now)
+{
+  g->phase = phase;
+  g->phase_at = now;
+  g->stall_since = now;
+}
+
+/* Time since the primary last answered, less our own pauses. */
+static bool
+primary_silent (const struct cfs_gate *g, unsigned primary, int64_t now)
+{
+  const struct gate_instance *in = &g->inst[primary];
+  int64_t since = in->probed_at;
+
+  if (g->pause_base > since)
+    since = g->pause_base;
+  if (g->phase_at > since)
+    since = g->phase_at;
+  return now - since > g->tuning.suspect_us;
+}
+
+static uint64_t
+best_replica (const struct cfs_gate *g, int primary)
+{
+  uint64_t best = 0;
+
+  for (unsigned i = 0; i < g->inst_count; i++)
+    if ((int)i != primary && g->inst[i].term == g->group.term
+        && g->inst[i].position > best)
+      best = g->inst[i].position;
+  return best;
+}
+
+/* Whether writes wait while no replica makes progress, although enough of
+   them can be reached to choose another primary. */
+static bool
+replication_stalled (struct cfs_gate *g, int primary, int64_t now)
+{
+  uint64_t best = best_replica (g, primary);
+  unsigned reached = 0;
+
+  if (g->ack_count == 0 || best != g->stall_position)
+    {
+      g->stall_position = best;
+      g->stall_since = now;
+      return false;
+    }
+  for (unsigned i = 0; i < g->inst_count; i++)
+    reached += (int)i != primary
+               && now - g->inst[i].probed_at < g->tuning.reachable_us;
+  return now - g->stall_since > g->tuning.stall_us
+         && reached > g->size - gate_majority (g);
+}
+
+static bool
+primary_failed (struct cfs_gate *g, int64_t now)
+{
+  int primary = gate_primary (g);
+  const struct gate_instance *in;
+
+  if (primary < 0)
+    return now - g->phase_at > g->tuning.suspect_us;
+  in = &g->inst[primary];
+  if (in->leaving && now - in->leaving_since > g->tuning.leave_us)
+    return true;
+  if (in->leaving && in->running + in->pinned + g->ack_count == 0)
+    return true;
+  if (in->probed_at > g->phase_at
+      && (in->term != g->group.term || !in->primary))
+    return true;
+  return primary_silent (g, (unsigned)primary, now)
+         || replication_stalled (g, primary, now);
+}
+
+/* Whether the history of a is further than that of b. */
+static bool
+further (const struct gate_instance *a, const struct gate_instance *b)
+{
+  if (a->term != b->term)
+    return a->term > b->term;
+  return a->position > b->position;
+}
+
+/* The instance that holds every acknowledged write, or -1 while too few
+   have answered since the term was granted.  An acknowledged write is on a
+   majority; so it is on one of any n - majority + 1 instances. */
+static int
+choose (const struct cfs_gate *g)
+{
+  int primary = gate_primary (g);
+  int best = -1;
+  int best_any = -1;
+  unsigned heard = 0;
+  unsigned heard_others = 0;
+
+  for (unsigned i = 0; i < g->inst_count; i++)
+    {
+      const struct gate_instance *in = &g->inst[i];
+
+      if (in->probe_sent_at < g->phase_at || in->probed_at < g->phase_at)
+        continue;
+      heard++;
+      if (best_any < 0 || further (in, &g->inst[best_any]))
+        best_any = (int)i;
+      if ((int)i == primary)
+        continue;
+      heard_others++;
+      if (best < 0 || further (in, &g->inst[best])
+          || (g->inst[best].leaving && !further (&g->inst[best], in)))
+        best = (int)i;
+    }
+  if (heard_others > g->size - gate_majority (g) && best >= 0)
+    return best;
+  return heard >= gate_majority (g) ? best_any : -1;
+}
+
+static void
+start_promotion (struct cfs_gate *g, int64_t now)
+{
+  int best = choose (g);
+
+  if (best < 0)
+    return;
+  g->chosen = (unsigned)best;
+  g->used_term = g->group.granted_term;
+  promote_phase (g, PHASE_PROMOTING, now);
+  g->ops->promote (g->ctx, g->chosen, g->group.granted_term);
+}
+
+static void
+watch_promotion (struct cfs_gate *g, int64_t now)
+{
+  const struct gate_instance *in = &g->inst[g->chosen];
+
+  if (in->primary && in->term == g->group.granted_term
+      && in->probe_sent_at >= g->phase_at)
+    {
+      g->promoted_start = in->start;
+      g->stats.promotions++;
+      promote_phase (g, PHASE_CONFIRMING, now);
+      return;
+    }
+  if (now - g->phase_at > g->tuning.suspect_us)
+    promote_phase (g, PHASE_ASKING, now);
+}
+
+void
+promote_tick (struct cfs_gate *g, int64_t now)
+{
+  bool granted = g->group.granted_epoch == g->epoch
+                 && g->group.granted_term > g->group.term
+                 && g->group.granted_term > g->used_term;
+
+  if (!gate_leased (g, now) || g->group.term == 0)
+    return;
+  switch (g->phase)
+    {
+    case PHASE_IDLE:
+      promote_phase (g,
+                     g->group.granted_term > g->group.term ? PHASE_ASKING
+                                                           : PHASE_SERVING,
+                     now);
+      break;
+    case PHASE_SERVING:
+      if (primary_failed (g, now))
+        promote_phase (g, PHASE_ASKING, now);
+      break;
+    case PHASE_ASKING:
+      if (granted)
+        promote_phase (g, PHASE_CHOOSING, now);
+      break;
+    case PHASE_CHOOSING:
+      start_promotion (g, now);
+      break;
+    case PHASE_PROMOTING:
+      watch_promotion (g, now);
+      break;
+    case PHASE_CONFIRMING:
+      break;
+    }
+}
--- /dev/null
+++ b/src/request/route.c
@@ -0,0 +1,122 @@
+/*
+ * A replica may serve a read when three things are proved: it holds the
+ * present history, it has applied the session's position, and it has
+ * applied a position that the primary was seen at no longer ago than the
+ * greatest age.  A replica's own word about its lag is never used, because
+ * one that lost its primary does not know that it is stale.
+ */
+#include "gate_int.h"
+
+void
+route_sample (struct cfs_gate *g, uint64_t position, int64_t at)
+{
+  struct gate_sample *s = &g->samples[g->sample_next];
+
+  s->at = at;
+  s->position = position;
+  g->sample_next = (g->sample_next + 1) % ROUTE_SAMPLES;
+  if (g->sample_count < ROUTE_SAMPLES)
+    g->sample_count++;
+}
+
+void
+route_forget (struct cfs_gate *g)
+{
+  g->sample_count = 0;
+  g->sample_next = 0;
+}
+
+/* Whether data up to @position is at most @max_age_us old.  The oldest
+   sample inside the age asks for the least position. */
+static bool
+young_enough (const struct cfs_gate *g, uint64_t position, int64_t max_age_us,
+              int64_t now)
+{
+  for (size_t i = 0; i < g->sample_count; i++)
+    {
+      size_t at = (g->sample_next + ROUTE_SAMPLES - g->sample_count + i)
+                  % ROUTE_SAMPLES;
+
+      if (now - g->samples[at].at <= max_age_us)
+        return position >= g->samples[at].position;
+    }
+  return false;
+}
+
+enum route_token
+route_token (const struct cfs_group *group, uint64_t term, uint64_t position)
+{
+  if (term == 0 || term == group->term)
+    return TOKEN_VALID;
+  if (term > group->term)
+    return TOKEN_AHEAD;
+  for (size_t i = 0; i < group->branch_count; i++)
+    if (group->branches[i].term > term)
+      return position <= group->branches[i].start ? TOKEN_VALID : TOKEN_LOST;
+  return TOKEN_LOST;
+}
+
+static bool
+usable (const struct cfs_gate *g, const struct gate_instance *in, int64_t now)
+{
+  return !in->leaving && in->term == g->group.term
+         && now - in->probed_at < g->tuning.reachable_us;
+}
+
+static bool
+fresh (const struct cfs_gate *g, const struct gate_instance *in,
+       const struct cfs_request *r, int64_t now)
+{
+  return in->position >= r->token_position
+         && young_enough (g, in->position, r->max_age_us, now);
+}
+
+/* The fresh replica with the least load, counted from a moving start. */
+static int
+least_loaded (struct cfs_gate *g, const struct cfs_request *r, int64_t now,
+              bool *exists)
+{
+  int best = -1;
+  unsigned best_load = 0;
+
+  *exists = false;
+  for (unsigned k = 0; k < g->inst_count; k++)
+    {
+      unsigned i = (g->next_inst + k) % g->inst_count;
+      const struct gate_instance *in = &g->inst[i];
+      unsigned load = in->running * 1000 / (in->slots ? in->slots : 1);
+
+      if (in->primary || !usable (g, in, now) || !fresh (g, in, r, now))
+        continue;
+      *exists = true;
+      if (!gate_has_room (g, i) || (best >= 0 && load >= best_load))
+        continue;
+      best = (int)i;
+      best_load = load;
+    }
+  if (best >= 0)
+    g->next_inst = (unsigned)best + 1;
+  return best;
+}
+
+int
+route_read (struct cfs_gate *g, const struct cfs_request *r, int64_t now)
+{
+  int primary = gate_primary (g);
+  bool exists;
+  int best;
+  int64_t wait = g->tuning.wait_for_replica ? g->tuning.replica_wait_us : 0;
+
+  if (route_token (&g->group, r->token_term, r->token_position) != TOKEN_VALID)
+    return -1;
+  best = least_loaded (g, r, now, &exists);
+  if (best >= 0)
+    return best;
+  if (primary < 0 || g->phase != PHASE_SERVING || g->inst[primary].leaving
+      || !gate_has_room (g, (unsigned)primary))
+    return -1;
+  if (r->max_age_us > 0 && now - r->arrived_at < wait
+      && now < r->deadline - wait)
+    return -1;
+  return primary;
+}
