--- /dev/null
+++ b/src/version/conf.h
@@ -0,0 +1,127 @@
+/**
+ * DOC: One version of the configuration.
+ *
+ * Operators change the document by JSON merge patches (RFC 7396) against a
+ * numbered version.  A parsed version is immutable and counted by
+ * references within one thread.
+ */
+#ifndef CFS_CONF_H
+#define CFS_CONF_H
+
+#include "../cfs.h"
+
+#include <glib.h>
+
+#define CFS_HASH_BYTES 32
+/* Instances of a group that the configuration does not name. */
+#define CFS_GROUP_SIZE 3
+
+/** struct cfs_team - a tenant with its fleet-wide limits */
+struct cfs_team
+{
+  char name[CFS_NAME_MAX];
+  double rate;
+  double burst;
+  uint32_t weight;
+};
+
+/** struct cfs_key - an access key; only its hash is known */
+struct cfs_key
+{
+  char id[CFS_NAME_MAX];
+  unsigned char hash[CFS_HASH_BYTES];
+  uint32_t team;
+};
+
+/** struct cfs_sheet - a stored query with a greatest age of its data */
+struct cfs_sheet
+{
+  char name[CFS_NAME_MAX];
+  char group[CFS_NAME_MAX];
+  char *sql;
+  uint32_t team;
+  int64_t max_age_us;
+  bool open;
+};
+
+/** struct cfs_group_conf - settings of a database group */
+struct cfs_group_conf
+{
+  char name[CFS_NAME_MAX];
+  bool ack_primary;
+  unsigned size;
+};
+
+/** struct cfs_conf - a parsed version */
+struct cfs_conf
+{
+  uint64_t version;
+  unsigned refs;
+  struct cfs_team *teams;
+  size_t team_count;
+  struct cfs_key *keys;
+  size_t key_count;
+  struct cfs_sheet *sheets;
+  size_t sheet_count;
+  struct cfs_group_conf *groups;
+  size_t group_count;
+};
+
+/**
+ * cfs_conf_parse() - checks and parses a document
+ * @document: JSON text
+ * @version: its number
+ * @error: set with file "configuration", path, found and allowed
+ *
+ * Return: the version with one reference, or NULL.
+ */
+struct cfs_conf *cfs_conf_parse (const char *document, uint64_t version,
+                                 GError **error);
+
+/** cfs_conf_ref() - takes a reference; Return: @conf */
+struct cfs_conf *cfs_conf_ref (struct cfs_conf *conf);
+
+/** cfs_conf_unref() - drops a reference and frees with the last one */
+void cfs_conf_unref (struct cfs_conf *conf);
+
+/**
+ * cfs_conf_patch() - applies a merge patch
+ * @document: JSON text of the base version
+ * @patch: JSON text of the patch
+ * @error: set when the patch is malformed or its result is not allowed
+ *
+ * Return: the new document, freed by free(), or NULL.
+ */
+char *cfs_conf_patch (const char *document, const char *patch, GError **error);
+
+/**
+ * cfs_conf_authenticate() - finds the team of a presented key
+ * @conf: version
+ * @key: text after "Bearer ", of the form ID.SECRET
+ *
+ * The secret is compared by hash in constant time.
+ * Return: the team, owned by @conf, or NULL.
+ */
+const struct cfs_team *cfs_conf_authenticate (const struct cfs_conf *conf,
+                                              const char *key);
+
+/** cfs_conf_team() - finds a team by name, or NULL */
+const struct cfs_team *cfs_conf_team (const struct cfs_conf *conf,
+                                      const char *name);
+
+/** cfs_conf_sheet() - finds a sheet by name, or NULL */
+const struct cfs_sheet *cfs_conf_sheet (const struct cfs_conf *conf,
+                                        const char *name);
+
+/** cfs_conf_group() - finds a group's settings by name, or NULL */
+const struct cfs_group_conf *cfs_conf_group (const struct cfs_conf *conf,
+                                             const char *name);
+
+/**
+ * cfs_secret_hash() - hash under which a secret is stored
+ * @secret: terminated text
+ * @hash: CFS_HASH_BYTES bytes, written
+ */
+void cfs_secret_hash (const char *secret, unsigned char *hash);
+
+#endif
--- /dev/null
+++ b/src/version/schema.c
@@ -0,0 +1,291 @@
+/*
+ * A recursive walk over the document and its table side by side.  Tables
+ * were chosen over code per field so that one place holds every range.
+ */
+#include "schema.h"
+
+#include <arpa/inet.h>
+#include <math.h>
+#include <string.h>
+
+#define JSON_DEPTH_MAX 16
+#define PATH_MAX_BYTES 256
+#define FOUND_MAX_BYTES 48
+
+struct walk
+{
+  const char *file;
+  char path[PATH_MAX_BYTES];
+  GError **error;
+};
+
+static const char *const type_names[]
+    = { "a text",
+        "a name (1 to 48 of letters, digits, '-', '_', '.')",
+        "an IP number",
+        "hexadecimal digits",
+        "a number",
+        "a whole number",
+        "true or false",
+        "an object",
+        "an object of named objects",
+        "a list of objects",
+        "any value" };
+
+GQuark
+cfs_schema_error_quark (void)
+{
+  return g_quark_from_static_string ("cfs-schema");
+}
+
+static void
+describe_found (const cJSON *json, char *out, size_t size)
+{
+  char *text = json ? cJSON_PrintUnformatted (json) : NULL;
+
+  g_snprintf (out, (gulong)size, "%s", text ? text : "nothing");
+  if (text && strlen (text) >= size)
+    memcpy (out + size - 4, "...", 4);
+  cJSON_free (text);
+}
+
+static void
+describe_allowed (const struct cfs_field *f, char *out, size_t size)
+{
+  const char *unit = f->unit ? f->unit : "";
+
+  if (f->type <= FIELD_HEX && f->type != FIELD_ADDRESS)
+    g_snprintf (out, (gulong)size, "%s of %g to %g characters",
+                type_names[f->type], f->min, f->max);
+  else if (f->type == FIELD_NUMBER || f->type == FIELD_INTEGER)
+    g_snprintf (out, (gulong)size, "%s from %g to %g%s%s", type_names[f->type],
+                f->min, f->max, *unit ? " " : "", unit);
+  else
+    g_snprintf (out, (gulong)size, "%s", type_names[f->type]);
+}
+
+static bool
+fail (struct walk *w, const char *found, const char *allowed)
+{
+  g_set_error (w->error, CFS_SCHEMA_ERROR, 0,
+               "%s: %s: found %s, allowed is %s", w->file,
+               *w->path ? w->path : "document", found, allowed);
+  return false;
+}
+
+static bool
+fail_field (struct walk *w, const struct cfs_field *f, const cJSON *json)
+{
+  char found[FOUND_MAX_BYTES];
+  char allowed[128];
+
+  describe_found (json, found, sizeof found);
+  describe_allowed (f, allowed, sizeof allowed);
+  return fail (w, found, allowed);
+}
+
+static bool
+is_name (const char *s, const char *set)
+{
+  return s[strspn (s, set)] == '\0';
+}
+
+static bool
+is_address (const char *s)
+{
+  unsigned char out[16];
+
+  return inet_pton (AF_INET, s, out) == 1 || inet_pton (AF_INET6, s, out) == 1;
+}
+
+static bool
+text_allowed (const struct cfs_field *f, const char *s)
+{
+  static const char names[] = "abcdefghijklmnopqrstuvwxyz"
+                              "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+  double len = (double)strlen (s);
+
+  if (f->type == FIELD_ADDRESS)
+    return is_address (s);
+  if (len < f->min || len > f->max || !g_utf8_validate (s, -1, NULL))
+    return false;
+  if (f->type == FIELD_NAME)
+    return is_name (s, names);
+  return f->type != FIELD_HEX || is_name (s, "0123456789abcdef");
+}
+
+static bool check_object (struct walk *w, const cJSON *json,
+                          const struct cfs_field *fields);
+
+static size_t
+enter (struct walk *w, const char *name)
+{
+  size_t len = strlen (w->path);
+
+  g_snprintf (w->path + len, (gulong)(sizeof w->path - len), "%s%s",
+              len ? "." : "", name);
+  return len;
+}
+
+static bool
+check_children (struct walk *w, const cJSON *json, const struct cfs_field *f)
+{
+  static const struct cfs_field key
+      = { "", FIELD_NAME, 1, 48, NULL, true, NULL };
+  const cJSON *item;
+  int index = 0;
+
+  cJSON_ArrayForEach (item, json)
+  {
+    char number[16];
+    size_t len;
+    bool ok;
+
+    g_snprintf (number, sizeof number, "%d", index++);
+    len = enter (w, f->type == FIELD_MAP ? item->string : number);
+    if (f->type == FIELD_MAP && !text_allowed (&key, item->string))
+      return fail (w, "this name", type_names[FIELD_NAME]);
+    ok = check_object (w, item, f->children);
+    if (!ok)
+      return false;
+    w->path[len] = '\0';
+  }
+  return true;
+}
+
+static bool
+check_field (struct walk *w, const cJSON *json, const struct cfs_field *f)
+{
+  switch (f->type)
+    {
+    case FIELD_STRING:
+    case FIELD_NAME:
+    case FIELD_ADDRESS:
+    case FIELD_HEX:
+      if (!cJSON_IsString (json) || !text_allowed (f, json->valuestring))
+        return fail_field (w, f, json);
+      return true;
+    case FIELD_NUMBER:
+    case FIELD_INTEGER:
+      if (!cJSON_IsNumber (json) || !isfinite (json->valuedouble)
+          || json->valuedouble < f->min || json->valuedouble > f->max
+          || (f->type == FIELD_INTEGER
+              && floor (json->valuedouble) != json->valuedouble))
+        return fail_field (w, f, json);
+      return true;
+    case FIELD_BOOL:
+      return cJSON_IsBool (json) || fail_field (w, f, json);
+    case FIELD_OBJECT:
+      return check_object (w, json, f->children);
+    case FIELD_MAP:
+      if (!cJSON_IsObject (json))
+        return fail_field (w, f, json);
+      return check_children (w, json, f);
+    case FIELD_LIST:
+      if (!cJSON_IsArray (json))
+        return fail_field (w, f, json);
+      return check_children (w, json, f);
+    case FIELD_ANY:
+      return true;
+    }
+  return false;
+}
+
+static bool
+check_object (struct walk *w, const cJSON *json,
+              const struct cfs_field *fields)
+{
+  const cJSON *item;
+  char found[FOUND_MAX_BYTES];
+
+  if (!cJSON_IsObject (json))
+    {
+      describe_found (json, found, sizeof found);
+      return fail (w, found, type_names[FIELD_OBJECT]);
+    }
+  cJSON_ArrayForEach (item, json)
+  {
+    const struct cfs_field *f = fields;
+    size_t len = enter (w, item->string);
+
+    while (f->name && strcmp (f->name, item->string) != 0)
+      f++;
+    if (!f->name)
+      return fail (w, "an unknown field", "only the documented fields");
+    if (!check_field (w, item, f))
+      return false;
+    w->path[len] = '\0';
+  }
+  for (const struct cfs_field *f = fields; f->name; f++)
+    if (f->required && !cJSON_GetObjectItemCaseSensitive (json, f->name))
+      {
+        enter (w, f->name);
+        return fail_field (w, f, NULL);
+      }
+  return true;
+}
+
+double
+cfs_json_number (const cJSON *object, const char *name, double fallback)
+{
+  const cJSON *item = cJSON_GetObjectItemCaseSensitive (object, name);
+
+  return cJSON_IsNumber (item) ? item->valuedouble : fallback;
+}
+
+const char *
+cfs_json_string (const cJSON *object, const char *name, const char *fallback)
+{
+  const cJSON *item = cJSON_GetObjectItemCaseSensitive (object, name);
+
+  return cJSON_IsString (item) ? item->valuestring : fallback;
+}
+
+/* Whether brackets nest at most JSON_DEPTH_MAX levels outside of texts. */
+static bool
+depth_allowed (const char *p)
+{
+  int depth = 0;
+  bool quoted = false;
+
+  for (; *p; p++)
+    {
+      if (quoted && *p == '\\' && p[1])
+        p++;
+      else if (*p == '"')
+        quoted = !quoted;
+      else if (!quoted && (*p == '{' || *p == '['))
+        depth++;
+      else if (!quoted && (*p == '}' || *p == ']'))
+        depth--;
+      if (depth > JSON_DEPTH_MAX)
+        return false;
+    }
+  return true;
+}
+
+cJSON *
+cfs_json_parse (const char *text, const char *file, GError **error)
+{
+  cJSON *json = NULL;
+
+  if (g_utf8_validate (text, -1, NULL) && depth_allowed (text))
+    json = cJSON_ParseWithOpts (text, NULL, 1);
+  if (json && cJSON_IsObject (json))
+    return json;
+  cJSON_Delete (json);
+  g_set_error (error, CFS_SCHEMA_ERROR, 0,
+               "%s: document: found no JSON object, allowed is one object in "
+               "UTF-8, at most %d levels deep",
+               file, JSON_DEPTH_MAX);
+  return NULL;
+}
+
+bool
+cfs_schema_check (const cJSON *json, const struct cfs_field *fields,
+                  const char *file, GError **error)
+{
+  struct walk w = { .file = file, .error = error };
+
+  return check_object (&w, json, fields);
+}
--- /dev/null
+++ b/tests/standin/target.c
@@ -0,0 +1,1018 @@
+/*
+ * Stand-in target: one instance of a database group as a plain process.
+ * It speaks the PostgreSQL frontend/backend protocol 3.0 (extended query
+ * only), knows a few fixed statements over orders and stock, replicates its
+ * log to its peers with a chosen lag, and can be promoted in a term.
+ * Signals: USR1 cuts it off from its peers or joins it again, USR2 makes it
+ * announce that it is leaving.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <getopt.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#define CONNS 256
+#define PEERS 8
+#define OPS 200000
+#define TERMS 64
+#define PENDING 64
+#define PROTOCOL_3 196608
+#define SSL_REQUEST 80877103
+#define PEER_REQUEST 80877199
+#define ANNOUNCE_US 300000
+#define FOLLOW_US 50000
+
+enum role
+{
+  FREE,
+  CALLER,
+  FOLLOWER,
+  UPSTREAM,
+  ANNOUNCER
+};
+
+struct op
+{
+  char *text;
+  int64_t at;
+  uint64_t term;
+};
+
+struct conn
+{
+  enum role role;
+  int fd;
+  bool started, closing, skip, in_tx, failed, read_only, busy;
+  int64_t ready_at, job_end;
+  char *in, *out;
+  size_t in_len, out_len;
+  char sql[1024];
+  char params[8][4096];
+  bool null[8];
+  int param_count;
+  char *pending[PENDING];
+  int pending_count;
+  uint64_t sent;
+  int peer;
+};
+
+static struct conn conns[CONNS];
+static struct op ops[OPS];
+static uint64_t position, visible;
+static struct
+{
+  uint64_t term, start;
+} terms[TERMS];
+static int term_count;
+static bool leads, isolated, leaving, stopping;
+static int peer_ports[PEERS], peer_count, announce_ports[PEERS],
+    announce_count;
+static int upstream = -1, running_jobs;
+static const char *name = "t1", *group = "orders", *zone = "a", *key = "";
+static int port = 5500, slots = 5, max_conns = 35, next_announce;
+static int64_t lag_us = 50000, service_us = 2000, connect_us = 12000;
+static char *seen[OPS];
+static size_t seen_count;
+
+static int64_t
+now_us (void)
+{
+  struct timespec t;
+  clock_gettime (CLOCK_MONOTONIC, &t);
+  return (int64_t)t.tv_sec * 1000000 + t.tv_nsec / 1000;
+}
+
+static void
+put (struct conn *c, const void *data, size_t len)
+{
+  c->out = realloc (c->out, c->out_len + len + 1);
+  memcpy (c->out + c->out_len, data, len);
+  c->out_len += len;
+}
+
+static void
+message (struct conn *c, char type, const void *body, size_t len)
+{
+  uint32_t n = htonl ((uint32_t)len + 4);
+  put (c, &type, 1);
+  put (c, &n, 4);
+  put (c, body, len);
+}
+
+static void
+drop (struct conn *c)
+{
+  if (c->busy)
+    running_jobs--;
+  if (c->role == UPSTREAM && upstream == (int)(c - conns))
+    upstream = -1;
+  close (c->fd);
+  free (c->in);
+  free (c->out);
+  for (int i = 0; i < c->pending_count; i++)
+    free (c->pending[i]);
+  memset (c, 0, sizeof *c);
+}
+
+static struct conn *
+add_conn (int fd, enum role role)
+{
+  int one = 1;
+  for (int i = 0; i < CONNS; i++)
+    if (conns[i].role == FREE)
+      {
+        memset (&conns[i], 0, sizeof conns[i]);
+        conns[i].role = role;
+        conns[i].fd = fd;
+        fcntl (fd, F_SETFL, O_NONBLOCK);
+        setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+        return &conns[i];
+      }
+  close (fd);
+  return NULL;
+}
+
+static struct conn *
+dial (int to, enum role role)
+{
+  struct sockaddr_in a = { .sin_family = AF_INET, .sin_port = htons (to) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (connect (fd, (struct sockaddr *)&a, sizeof a) != 0
+      && errno != EINPROGRESS)
+    {
+      close (fd);
+      return NULL;
+    }
+  return add_conn (fd, role);
+}
+
+static uint64_t
+term (void)
+{
+  return term_count ? terms[term_count - 1].term : 0;
+}
+
+static void
+add_term (uint64_t t, uint64_t start)
+{
+  if (term_count == TERMS)
+    memmove (terms, terms + 1, sizeof terms[0] * --term_count);
+  terms[term_count].term = t;
+  terms[term_count++].start = start;
+}
+
+/* The last committed op whose text starts with @prefix, or NULL. */
+static const char *
+find_op (const char *prefix)
+{
+  for (uint64_t i = visible; i > 0; i--)
+    if (strncmp (ops[i - 1].text, prefix, strlen (prefix)) == 0)
+      return ops[i - 1].text;
+  return NULL;
+}
+
+static bool
+pending_elsewhere (const struct conn *self, const char *prefix)
+{
+  for (int i = 0; i < CONNS; i++)
+    for (int j = 0; j < conns[i].pending_count; j++)
+      if (&conns[i] != self
+          && strncmp (conns[i].pending[j], prefix, strlen (prefix)) == 0)
+        return true;
+  return false;
+}
+
+static void
+commit_op (const char *text, uint64_t t)
+{
+  if (position == OPS)
+    exit (3);
+  ops[position].text = strdup (text);
+  ops[position].at = now_us ();
+  ops[position++].term = t;
+}
+
+static void
+error_reply (struct conn *c, const char *state, const char *text)
+{
+  char body[256];
+  int n = snprintf (body, sizeof body, "SERROR%cC%s%cM%s%c", 0, state, 0, text,
+                    0);
+  message (c, 'E', body, (size_t)n + 1);
+  c->skip = true;
+  if (c->in_tx)
+    c->failed = true;
+}
+
+static void
+complete (struct conn *c, const char *tag)
+{
+  message (c, 'C', tag, strlen (tag) + 1);
+}
+
+static void
+describe (struct conn *c, const char *columns)
+{
+  char body[512];
+  size_t len = 2;
+  uint16_t count = 0;
+  char list[128];
+  snprintf (list, sizeof list, "%s", columns);
+  for (char *s = strtok (list, ","); s; s = strtok (NULL, ","), count++)
+    {
+      len += (size_t)snprintf (body + len, sizeof body - len, "%s", s) + 1;
+      memset (body + len, 0, 18);
+      body[len + 9] = 25;
+      len += 18;
+    }
+  body[0] = 0;
+  body[1] = (char)count;
+  message (c, 'T', body, len);
+}
+
+static void
+row (struct conn *c, int count, const char **values)
+{
+  char body[9000] = { 0, (char)count };
+  size_t len = 2;
+  for (int i = 0; i < count; i++)
+    {
+      uint32_t n = htonl ((uint32_t)strlen (values[i]));
+      memcpy (body + len, &n, 4);
+      memcpy (body + len + 4, values[i], strlen (values[i]));
+      len += 4 + strlen (values[i]);
+    }
+  message (c, 'D', body, len);
+}
+
+static bool
+sql_is (const struct conn *c, const char *prefix)
+{
+  return strncmp (c->sql, prefix, strlen (prefix)) == 0;
+}
+
+static void
+run_position (struct conn *c)
+{
+  char a[24], b[24], s[24];
+  const char *v[] = { a, b, s, leads ? "t" : "f" };
+  snprintf (a, sizeof a, "%llu", (unsigned long long)term ());
+  snprintf (b, sizeof b, "%llu", (unsigned long long)visible);
+  snprintf (
+      s, sizeof s, "%llu",
+      (unsigned long long)(term_count ? terms[term_count - 1].start : 0));
+  describe (c, "term,position,start,leads");
+  row (c, 4, v);
+  complete (c, "SELECT 1");
+}
+
+static void
+run_promote (struct conn *c)
+{
+  uint64_t t = strtoull (c->params[0], NULL, 10);
+  const char *v[] = { "t" };
+  if (t < term () || (t == term () && !leads))
+    {
+      error_reply (c, "55000", "the term is superseded");
+      return;
+    }
+  if (t > term ())
+    add_term (t, position);
+  visible = position;
+  leads = true;
+  fprintf (stderr, "target: %s: leads in term %llu from %llu\n", name,
+           (unsigned long long)t, (unsigned long long)position);
+  describe (c, "promote");
+  row (c, 1, v);
+  complete (c, "SELECT 1");
+}
+
+static bool
+add_pending (struct conn *c, const char *text)
+{
+  if (c->pending_count == PENDING)
+    return false;
+  c->pending[c->pending_count++] = strdup (text);
+  return true;
+}
+
+static void
+run_insert (struct conn *c, const char *prefix, const char *text,
+            const char *tag)
+{
+  if (c->read_only || !leads)
+    error_reply (c, "25006", "cannot write in a read-only transaction");
+  else if (prefix && find_op (prefix))
+    error_reply (c, "23505", "duplicate key");
+  else if (prefix && pending_elsewhere (c, prefix))
+    error_reply (c, "55P03", "the row is locked");
+  else if (!c->in_tx || !add_pending (c, text))
+    error_reply (c, "25P01", "no transaction");
+  else
+    complete (c, tag);
+}
+
+static void
+run_outcome (struct conn *c)
+{
+  char prefix[512], text[9000];
+  if (sql_is (c, "UPDATE"))
+    {
+      snprintf (text, sizeof text, "R %s %s %s", c->params[0], c->params[1],
+                c->params[2]);
+      run_insert (c, NULL, text, "UPDATE 1");
+      return;
+    }
+  snprintf (prefix, sizeof prefix, "K %.200s %.200s ", c->params[0],
+            c->params[1]);
+  if (sql_is (c, "INSERT"))
+    {
+      snprintf (text, sizeof text, "%s%s", prefix, c->params[2]);
+      run_insert (c, prefix, text, "INSERT 0 1");
+      return;
+    }
+  const char *k = find_op (prefix);
+  size_t skip = strlen (prefix);
+  describe (c, "request,result");
+  prefix[0] = 'R';
+  const char *r = find_op (prefix);
+  if (k && r)
+    {
+      const char *v[] = { k + skip, r + skip };
+      row (c, 2, v);
+    }
+  complete (c, "SELECT 1");
+}
+
+static void
+run_orders (struct conn *c)
+{
+  char text[9000], prefix[512], id[128], team[64], item[64], qty[32];
+  if (sql_is (c, "INSERT"))
+    {
+      snprintf (prefix, sizeof prefix, "O %.200s ", c->params[0]);
+      snprintf (text, sizeof text, "%s%.60s %.60s %.30s", prefix, c->params[1],
+                c->params[2], c->params[3]);
+      if (seen_count < OPS)
+        seen[seen_count++] = strdup (c->params[0]);
+      run_insert (c, prefix, text, "INSERT 0 1");
+      return;
+    }
+  if (sql_is (c, "SELECT seen"))
+    {
+      int n = 0;
+      for (size_t i = 0; i < seen_count; i++)
+        n += strcmp (seen[i], c->params[0]) == 0;
+      snprintf (text, sizeof text, "%d", n);
+      const char *v[] = { text };
+      describe (c, "seen");
+      row (c, 1, v);
+      complete (c, "SELECT 1");
+      return;
+    }
+  bool count = sql_is (c, "SELECT count");
+  int found = 0;
+  describe (c, count ? "count" : "id,team,item,qty");
+  for (uint64_t i = 0; i < visible; i++)
+    {
+      if (sscanf (ops[i].text, "O %127s %63s %63s %31s", id, team, item, qty)
+              != 4
+          || (c->param_count && strcmp (id, c->params[0]) != 0))
+        continue;
+      found++;
+      const char *v[] = { id, team, item, qty };
+      if (!count && (c->param_count || visible - i < 200))
+        row (c, 4, v);
+    }
+  if (count)
+    {
+      snprintf (text, sizeof text, "%d", found);
+      const char *v[] = { text };
+      row (c, 1, v);
+    }
+  complete (c, "SELECT 1");
+}
+
+static void
+run_stock (struct conn *c)
+{
+  char text[512], prefix[256];
+  snprintf (prefix, sizeof prefix, "S %.200s ", c->params[0]);
+  if (sql_is (c, "UPDATE"))
+    {
+      snprintf (text, sizeof text, "%s%.30s", prefix, c->params[1]);
+      run_insert (c, NULL, text, "UPDATE 1");
+      return;
+    }
+  const char *op = find_op (prefix);
+  const char *v[] = { op ? op + strlen (prefix) : "0" };
+  describe (c, "qty");
+  row (c, 1, v);
+  complete (c, "SELECT 1");
+}
+
+static void
+end_tx (struct conn *c, bool commit)
+{
+  bool lost = commit && c->pending_count && !leads;
+  bool rolled_back = !commit || c->failed;
+  for (int i = 0; i < c->pending_count; i++)
+    {
+      if (!rolled_back && !lost)
+        commit_op (c->pending[i], term ());
+      free (c->pending[i]);
+    }
+  c->pending_count = 0;
+  if (leads)
+    visible = position;
+  c->in_tx = c->failed = c->read_only = false;
+  if (lost)
+    error_reply (c, "25006", "no longer the primary");
+  else
+    complete (c, rolled_back ? "ROLLBACK" : "COMMIT");
+}
+
+static void
+execute (struct conn *c)
+{
+  if (sql_is (c, "ROLLBACK") || sql_is (c, "COMMIT"))
+    end_tx (c, sql_is (c, "COMMIT"));
+  else if (c->failed)
+    error_reply (c, "25P02", "the transaction is aborted");
+  else if (sql_is (c, "BEGIN"))
+    {
+      c->in_tx = true;
+      c->read_only = sql_is (c, "BEGIN READ ONLY");
+      complete (c, "BEGIN");
+    }
+  else if (strstr (c->sql, "coltsfootstage_position"))
+    run_position (c);
+  else if (strstr (c->sql, "coltsfootstage_promote"))
+    run_promote (c);
+  else if (strstr (c->sql, "coltsfootstage_outcome"))
+    run_outcome (c);
+  else if (strstr (c->sql, "orders"))
+    run_orders (c);
+  else if (strstr (c->sql, "stock"))
+    run_stock (c);
+  else
+    error_reply (c, "42601", "syntax error");
+}
+
+static bool
+takes_slot (const struct conn *c)
+{
+  return (strstr (c->sql, "orders") || strstr (c->sql, "stock"))
+         && !strstr (c->sql, "seen");
+}
+
+/* Starts the statement's service; returns whether it is over. */
+static bool
+served (struct conn *c)
+{
+  int64_t now = now_us ();
+  if (!takes_slot (c) || c->failed)
+    return true;
+  if (!c->busy)
+    {
+      if (running_jobs >= slots)
+        return false;
+      c->busy = true;
+      c->job_end = now + service_us;
+      running_jobs++;
+    }
+  if (now < c->job_end)
+    return false;
+  c->busy = false;
+  running_jobs--;
+  return true;
+}
+
+static const char *
+read_param (struct conn *c, int i, const char *p)
+{
+  uint32_t n;
+  memcpy (&n, p, 4);
+  n = ntohl (n);
+  c->null[i] = n == UINT32_MAX;
+  if (c->null[i])
+    n = 0;
+  size_t keep = n < sizeof c->params[0] - 1 ? n : sizeof c->params[0] - 1;
+  memcpy (c->params[i], p + 4, keep);
+  c->params[i][keep] = 0;
+  return p + 4 + n;
+}
+
+static void
+bind_params (struct conn *c, const char *p)
+{
+  uint16_t formats, count;
+  p += strlen (p) + 1;
+  p += strlen (p) + 1;
+  memcpy (&formats, p, 2);
+  p += 2 + 2 * ntohs (formats);
+  memcpy (&count, p, 2);
+  p += 2;
+  c->param_count = ntohs (count) < 8 ? ntohs (count) : 8;
+  for (int i = 0; i < c->param_count; i++)
+    p = read_param (c, i, p);
+}
+
+static void
+ready (struct conn *c)
+{
+  char state = c->failed ? 'E' : c->in_tx ? 'T' : 'I';
+  message (c, 'Z', &state, 1);
+}
+
+/* Handles one message; returns false when it has to wait. */
+static bool
+handle (struct conn *c, char type, const char *body)
+{
+  if (type == 'S')
+    {
+      c->skip = false;
+      ready (c);
+    }
+  else if (type == 'X')
+    c->closing = true;
+  else if (c->skip)
+    return true;
+  else if (type == 'P')
+    {
+      snprintf (c->sql, sizeof c->sql, "%s", body + strlen (body) + 1);
+      message (c, '1', "", 0);
+    }
+  else if (type == 'B')
+    {
+      bind_params (c, body);
+      message (c, '2', "", 0);
+    }
+  else if (type == 'E')
+    {
+      if (!served (c))
+        return false;
+      execute (c);
+    }
+  return true;
+}
+
+static void
+start_session (struct conn *c)
+{
+  static const char version[] = "server_version\0"
+                                "15.0";
+  static const char encoding[] = "client_encoding\0"
+                                 "UTF8";
+  uint32_t zero = 0;
+  char key_data[8] = { 0 };
+  message (c, 'R', &zero, 4);
+  message (c, 'S', version, sizeof version);
+  message (c, 'S', encoding, sizeof encoding);
+  message (c, 'K', key_data, 8);
+  ready (c);
+  c->started = true;
+}
+
+static size_t
+startup (struct conn *c)
+{
+  uint32_t len, code;
+  if (c->in_len < 8)
+    return 0;
+  memcpy (&len, c->in, 4);
+  memcpy (&code, c->in + 4, 4);
+  len = ntohl (len);
+  code = ntohl (code);
+  if (len > c->in_len)
+    return 0;
+  if (code == SSL_REQUEST)
+    put (c, "N", 1);
+  else if (code == PEER_REQUEST && !isolated)
+    {
+      c->role = FOLLOWER;
+      memcpy (&c->sent, c->in + 8, 8);
+    }
+  else if (code == PROTOCOL_3)
+    {
+      int n = 0;
+      for (int i = 0; i < CONNS; i++)
+        n += conns[i].role == CALLER;
+      if (n > max_conns)
+        c->closing = true;
+      if (c->ready_at == 0)
+        c->ready_at = now_us () + connect_us;
+      if (now_us () < c->ready_at)
+        return 0;
+      start_session (c);
+    }
+  else
+    c->closing = true;
+  return len;
+}
+
+static void
+serve_caller (struct conn *c)
+{
+  size_t used = 0;
+  while (c->role == CALLER && !c->closing)
+    {
+      size_t n;
+      if (!c->started)
+        {
+          n = startup (c);
+          if (n == 0)
+            break;
+        }
+      else
+        {
+          uint32_t len;
+          if (c->in_len < 5)
+            break;
+          memcpy (&len, c->in + 1, 4);
+          n = ntohl (len) + 1;
+          if (c->in_len < n || !handle (c, c->in[0], c->in + 5))
+            break;
+        }
+      memmove (c->in, c->in + n, c->in_len - n);
+      c->in_len -= n;
+      used += n;
+    }
+  (void)used;
+}
+
+/* Line to a follower: its history first, then each op. */
+static void
+feed_follower (struct conn *c)
+{
+  char line[9200];
+  if (isolated || !leads)
+    {
+      c->closing = true;
+      return;
+    }
+  if (!c->started)
+    {
+      for (int i = 0; i < term_count; i++)
+        {
+          int n = snprintf (line, sizeof line, "T %llu %llu\n",
+                            (unsigned long long)terms[i].term,
+                            (unsigned long long)terms[i].start);
+          put (c, line, (size_t)n);
+        }
+      int n = snprintf (line, sizeof line, "G\n");
+      put (c, line, (size_t)n);
+      c->started = true;
+      c->sent = UINT64_MAX;
+    }
+  /* The follower answers "P <position>" once it has rewound. */
+  if (c->sent == UINT64_MAX && c->in_len && memchr (c->in, '\n', c->in_len))
+    {
+      c->sent = strtoull (c->in + 2, NULL, 10);
+      c->in_len = 0;
+    }
+  if (now_us () > c->job_end)
+    {
+      put (c, "H\n", 2);
+      c->job_end = now_us () + 100000;
+    }
+  while (c->sent < position && c->out_len < 65536)
+    {
+      int n = snprintf (line, sizeof line, "O %llu %s\n",
+                        (unsigned long long)ops[c->sent].term,
+                        ops[c->sent].text);
+      put (c, line, (size_t)n);
+      c->sent++;
+    }
+}
+
+/* History of the upstream while it is read. */
+static struct
+{
+  uint64_t term, start;
+} next_terms[TERMS];
+static int next_count;
+
+static void
+take_history (struct conn *c)
+{
+  char line[64];
+  uint64_t keep = position;
+  for (int i = 0; i < next_count; i++)
+    if (next_terms[i].term > term () && next_terms[i].start < keep)
+      keep = next_terms[i].start;
+  while (position > keep)
+    free (ops[--position].text);
+  if (visible > position)
+    visible = position;
+  memcpy (terms, next_terms, sizeof terms);
+  term_count = next_count;
+  leads = false;
+  c->started = true;
+  int n
+      = snprintf (line, sizeof line, "P %llu\n", (unsigned long long)position);
+  put (c, line, (size_t)n);
+}
+
+static void
+upstream_line (struct conn *c, char *line)
+{
+  unsigned long long a, b;
+  if (line[0] == 'T' && sscanf (line, "T %llu %llu", &a, &b) == 2
+      && next_count < TERMS)
+    {
+      next_terms[next_count].term = a;
+      next_terms[next_count++].start = b;
+    }
+  else if (line[0] == 'G')
+    {
+      if (next_count == 0 || next_terms[next_count - 1].term < term ()
+          || (leads && next_terms[next_count - 1].term == term ()))
+        c->closing = true;
+      else
+        take_history (c);
+    }
+  else if (line[0] == 'O' && c->started)
+    {
+      char *text = strchr (line + 2, ' ');
+      if (text)
+        commit_op (text + 1, strtoull (line + 2, NULL, 10));
+    }
+}
+
+static void
+serve_upstream (struct conn *c)
+{
+  char *end;
+  while (c->in_len && (end = memchr (c->in, '\n', c->in_len)) && !c->closing)
+    {
+      size_t n = (size_t)(end - c->in) + 1;
+      *end = 0;
+      upstream_line (c, c->in);
+      memmove (c->in, c->in + n, c->in_len - n);
+      c->in_len -= n;
+    }
+}
+
+static void
+follow (void)
+{
+  static int next;
+  static int64_t at;
+  uint32_t head[2] = { htonl (16), htonl (PEER_REQUEST) };
+  uint64_t from = position;
+  struct conn *c;
+  if (isolated || peer_count == 0 || now_us () < at)
+    return;
+  at = now_us () + FOLLOW_US;
+  if (upstream >= 0)
+    return;
+  next_count = 0;
+  next = (next + 1) % peer_count;
+  c = dial (peer_ports[next], UPSTREAM);
+  if (!c)
+    return;
+  upstream = (int)(c - conns);
+  c->ready_at = now_us () + 400000;
+  put (c, head, 8);
+  put (c, &from, 8);
+}
+
+static void
+announce (void)
+{
+  static int64_t at;
+  char body[512], text[1024];
+  struct conn *c;
+  if (now_us () < at || announce_count == 0)
+    return;
+  at = now_us () + ANNOUNCE_US;
+  next_announce = (next_announce + 1) % announce_count;
+  c = dial (announce_ports[next_announce], ANNOUNCER);
+  if (!c)
+    return;
+  snprintf (body, sizeof body,
+            "{\"instance\":\"%s\",\"group\":\"%s\",\"zone\":\"%s\","
+            "\"address\":\"127.0.0.1\",\"port\":%d,\"slots\":%d,"
+            "\"connections\":%d,\"term\":%llu,\"role\":\"%s\","
+            "\"position\":%llu,\"leaving\":%s}",
+            name, group, zone, port, slots, max_conns,
+            (unsigned long long)term (), leads ? "primary" : "replica",
+            (unsigned long long)visible, leaving ? "true" : "false");
+  snprintf (text, sizeof text,
+            "POST /v1/announce HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+            "Authorization: Bearer %s\r\nContent-Type: application/json\r\n"
+            "Content-Length: %zu\r\n\r\n%s",
+            key, strlen (body), body);
+  put (c, text, strlen (text));
+  c->ready_at = now_us () + 1000000;
+}
+
+static void
+on_signal (int sig)
+{
+  if (sig == SIGUSR1)
+    isolated = !isolated;
+  else if (sig == SIGUSR2)
+    leaving = !leaving;
+  else
+    stopping = true;
+}
+
+static void
+receive (struct conn *c)
+{
+  char buf[65536];
+  ssize_t n = read (c->fd, buf, sizeof buf);
+  if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR))
+    {
+      c->closing = true;
+      c->out_len = 0;
+    }
+  if (n <= 0 || c->role == ANNOUNCER)
+    return;
+  c->in = realloc (c->in, c->in_len + (size_t)n + 1);
+  memcpy (c->in + c->in_len, buf, (size_t)n);
+  c->in_len += (size_t)n;
+  if (c->role == UPSTREAM)
+    c->ready_at = now_us () + 400000;
+}
+
+static void
+transmit (struct conn *c)
+{
+  ssize_t n = write (c->fd, c->out, c->out_len);
+  if (n < 0 && errno != EAGAIN && errno != EINTR)
+    {
+      c->closing = true;
+      c->out_len = 0;
+    }
+  if (n > 0)
+    {
+      memmove (c->out, c->out + n, c->out_len - (size_t)n);
+      c->out_len -= (size_t)n;
+    }
+}
+
+static void
+advance (struct conn *c)
+{
+  if (c->role == CALLER)
+    serve_caller (c);
+  if (c->role == FOLLOWER)
+    feed_follower (c);
+  else if (c->role == UPSTREAM && (isolated || now_us () > c->ready_at))
+    c->closing = true;
+  else if (c->role == UPSTREAM)
+    serve_upstream (c);
+  else if (c->role == ANNOUNCER && now_us () > c->ready_at)
+    c->closing = true;
+  if (c->closing && (c->out_len == 0 || c->role != CALLER))
+    drop (c);
+}
+
+static void
+show_lagged (void)
+{
+  int64_t limit = now_us () - lag_us;
+  while (!leads && visible < position && ops[visible].at <= limit)
+    visible++;
+}
+
+static void
+loop_once (int listener)
+{
+  struct pollfd fds[CONNS + 1];
+  int index[CONNS + 1], n = 1;
+  struct timespec wait = { 0, 500000 };
+  fds[0].fd = listener;
+  fds[0].events = POLLIN;
+  for (int i = 0; i < CONNS; i++)
+    if (conns[i].role != FREE)
+      {
+        fds[n].fd = conns[i].fd;
+        fds[n].events = (short)(POLLIN | (conns[i].out_len ? POLLOUT : 0));
+        index[n++] = i;
+      }
+  if (ppoll (fds, (nfds_t)n, &wait, NULL) > 0)
+    {
+      if (fds[0].revents)
+        add_conn (accept (listener, NULL, NULL), CALLER);
+      for (int i = 1; i < n; i++)
+        {
+          if (fds[i].revents & (POLLIN | POLLHUP | POLLERR))
+            receive (&conns[index[i]]);
+          if ((fds[i].revents & POLLOUT) && conns[index[i]].out_len)
+            transmit (&conns[index[i]]);
+        }
+    }
+  show_lagged ();
+  for (int i = 0; i < CONNS; i++)
+    if (conns[i].role != FREE)
+      advance (&conns[i]);
+  for (int i = 0; i < CONNS; i++)
+    if (conns[i].role != FREE && conns[i].out_len)
+      transmit (&conns[i]);
+  follow ();
+  announce ();
+}
+
+static int
+listen_on (int to)
+{
+  struct sockaddr_in a = { .sin_family = AF_INET, .sin_port = htons (to) };
+  int one = 1;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (bind (fd, (struct sockaddr *)&a, sizeof a) != 0 || listen (fd, 64) != 0)
+    {
+      perror ("target: cannot listen");
+      exit (1);
+    }
+  return fd;
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct option options[]
+      = { { "name", 1, 0, 'n' },       { "group", 1, 0, 'g' },
+          { "zone", 1, 0, 'z' },       { "port", 1, 0, 'p' },
+          { "slots", 1, 0, 's' },      { "connections", 1, 0, 'c' },
+          { "lag-ms", 1, 0, 'l' },     { "service-us", 1, 0, 'u' },
+          { "connect-ms", 1, 0, 'k' }, { "primary", 0, 0, 'P' },
+          { "peer", 1, 0, 'f' },       { "announce", 1, 0, 'a' },
+          { "key", 1, 0, 'K' },        { 0, 0, 0, 0 } };
+  int o;
+  while ((o = getopt_long (argc, argv, "", options, NULL)) != -1)
+    switch (o)
+      {
+      case 'n':
+        name = optarg;
+        break;
+      case 'g':
+        group = optarg;
+        break;
+      case 'z':
+        zone = optarg;
+        break;
+      case 'K':
+        key = optarg;
+        break;
+      case 'p':
+        port = atoi (optarg);
+        break;
+      case 's':
+        slots = atoi (optarg);
+        break;
+      case 'c':
+        max_conns = atoi (optarg);
+        break;
+      case 'l':
+        lag_us = atoll (optarg) * 1000;
+        break;
+      case 'u':
+        service_us = atoll (optarg);
+        break;
+      case 'k':
+        connect_us = atoll (optarg) * 1000;
+        break;
+      case 'P':
+        leads = true;
+        break;
+      case 'f':
+        if (peer_count < PEERS)
+          peer_ports[peer_count++] = atoi (optarg);
+        break;
+      case 'a':
+        if (announce_count < PEERS)
+          announce_ports[announce_count++] = atoi (optarg);
+        break;
+      default:
+        return 2;
+      }
+  signal (SIGPIPE, SIG_IGN);
+  signal (SIGUSR1, on_signal);
+  signal (SIGUSR2, on_signal);
+  signal (SIGTERM, on_signal);
+  signal (SIGINT, on_signal);
+  if (leads)
+    add_term (1, 0);
+  int listener = listen_on (port);
+  while (!stopping)
+    loop_once (listener);
+  return 0;
+}
