Control group under random schedules; two faults found and mended

Cause: no check of the replicated log and of leases under failure existed. Change: a world of 3 control hosts and 4 member hosts in virtual time with crashes, freezes, cuts, loss, duplicates, clock drift of up to 0.8% and lost disks. Invariants: one ready leader, versions never change, never two hosts acting on one resource, all in force after healing.

--- a/src/process/control.c
+++ b/src/process/control.c
@@ -95,23 +95,17 @@
 }
 
 static void
-send_raft (void *ctx, const Cfs__RaftMsg *msg)
+send_raft (void *ctx, const char *host, const Cfs__RaftMsg *msg)
 {
   const struct cfs_control *c = ctx;
-  const struct cfs_members *members = cfs_raft_members (c->raft);
+  const struct cfs_peer *p = find_peer (c, host);
   Cfs__Peer out = CFS__PEER__INIT;
 
+  if (!p)
+    return;
   out.body_case = CFS__PEER__BODY_RAFT;
   out.raft = (Cfs__RaftMsg *)msg;
-  for (size_t i = 0; i < members->count; i++)
-    if (members->at[i].id == msg->to)
-      {
-        const struct cfs_peer *p = find_peer (c, members->at[i].host);
-
-        if (p)
-          cfs_net_send (c->net, p->address, p->port, &out);
-        return;
-      }
+  cfs_net_send (c->net, p->address, p->port, &out);
 }
 
 static void
--- a/src/process/raft.c
+++ b/src/process/raft.c
@@ -232,6 +232,17 @@
   m->host = (char *)r->host;
 }
 
+/* Sends to a member.  Replies go to the host that asked instead, because a
+   host that is not a member yet does not know the present identities. */
+static void
+send_to (const struct cfs_raft *r, const Cfs__RaftMsg *m)
+{
+  const struct cfs_member *to = member_by_id (r, m->to);
+
+  if (to)
+    r->ops->send (r->ctx, to->host, m);
+}
+
 static int
 set_term (struct cfs_raft *r, uint64_t term, uint64_t vote)
 {
@@ -342,7 +353,7 @@
   members.data.len = pack_members (&r->snap.members, &members.data.data);
   m.entries = list;
   m.n_entries = 1;
-  r->ops->send (r->ctx, &m);
+  send_to (r, &m);
   free (members.data.data);
   p->sent_at = now;
 }
@@ -379,7 +390,7 @@
       row->data.data = e->data;
       list[m.n_entries++] = row;
     }
-  r->ops->send (r->ctx, &m);
+  send_to (r, &m);
   p->sent_at = now;
 }
 
@@ -490,7 +501,7 @@
       m.term = term;
       m.index = last_index (r);
       m.log_term = term_at (r, m.index);
-      r->ops->send (r->ctx, &m);
+      send_to (r, &m);
     }
 }
 
@@ -542,7 +553,7 @@
       if (r->members.at[i].id == r->id)
         continue;
       init_msg (r, &m, MSG_JOIN, r->members.at[i].id);
-      r->ops->send (r->ctx, &m);
+      send_to (r, &m);
     }
 }
 
@@ -650,7 +661,7 @@
   reply.reject = heard_recently (r, now) || m->term <= r->term
                  || !log_is_current (r, m);
   reply.term = reply.reject ? r->term : m->term;
-  r->ops->send (r->ctx, &reply);
+  r->ops->send (r->ctx, m->host, &reply);
 }
 
 static void
@@ -659,7 +670,7 @@
   Cfs__RaftMsg reply;
   bool grant;
 
-  if (heard_recently (r, now) || !is_voter (r, m->from))
+  if (heard_recently (r, now))
     return;
   if (m->term > r->term && set_term (r, m->term, 0) == CFS_OK)
     become_follower (r, 0, now);
@@ -671,7 +682,7 @@
     r->election_at = now + election_delay (r);
   init_msg (r, &reply, MSG_VOTE_REPLY, m->from);
   reply.reject = !grant;
-  r->ops->send (r->ctx, &reply);
+  r->ops->send (r->ctx, m->host, &reply);
 }
 
 static void
@@ -712,7 +723,7 @@
   reply.index = index;
   reply.hint = last_index (r);
   reply.round = m->round;
-  r->ops->send (r->ctx, &reply);
+  r->ops->send (r->ctx, m->host, &reply);
 }
 
 /* Accepts the sender as leader of its term.  Returns false for a stale one. */
--- a/src/process/raft.h
+++ b/src/process/raft.h
@@ -82,7 +82,7 @@
  * @append: makes entries durable before it returns CFS_OK
  * @truncate: drops durable entries from @from on
  * @save_snapshot: makes a snapshot durable and drops the entries it covers
- * @send: sends a message; may lose it
+ * @send: sends a message to the control host of that name; may lose it
  * @apply: applies a committed command, once and in order
  * @restore: replaces the state machine by an image
  * @image: packs the state machine into malloc'd memory for the caller
@@ -95,7 +95,7 @@
   int (*append) (void *ctx, const struct cfs_entry *entries, size_t count);
   int (*truncate) (void *ctx, uint64_t from);
   int (*save_snapshot) (void *ctx, const struct cfs_snapshot *snapshot);
-  void (*send) (void *ctx, const Cfs__RaftMsg *msg);
+  void (*send) (void *ctx, const char *host, const Cfs__RaftMsg *msg);
   void (*apply) (void *ctx, const struct cfs_entry *entry);
   void (*restore) (void *ctx, const uint8_t *data, size_t len);
   size_t (*image) (void *ctx, uint8_t **data);
--- /dev/null
+++ b/tests/unit/control_random.c
@@ -0,0 +1,208 @@
+/*
+ * Random schedules of the control group: crashes, freezes, cuts, loss,
+ * duplicates, drifting clocks and lost disks.  Prints the seed that fails.
+ */
+#include "../world/control.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define SEEDS 1000
+#define EVENTS 40
+#define DRIFT_PPM 8000
+
+static void
+patch_somewhere (struct world_control *w)
+{
+  unsigned i = (unsigned)(cfs_random (&w->seed) % WC_VOTERS);
+  uint64_t base
+      = w->accepted_count ? w->accepted_count - cfs_random (&w->seed) % 2 : 0;
+  char id[32];
+
+  snprintf (id, sizeof id, "r%llu", (unsigned long long)w->next_request++);
+  wc_patch (w, i, base, "{\"teams\":{\"a\":{\"rate\":10,\"burst\":10}}}", id);
+}
+
+/* Whether a disk may be lost now: all voters run, none is being repaired,
+   and the repaired state is committed. */
+static bool
+is_whole (struct world_control *w)
+{
+  int leader = wc_ready (w);
+  const struct cfs_members *m;
+  size_t voters = 0;
+
+  if (leader < 0)
+    return false;
+  m = cfs_raft_members (w->hosts[leader].raft);
+  for (size_t i = 0; i < m->count; i++)
+    voters += m->at[i].voter;
+  for (unsigned i = 0; i < WC_VOTERS; i++)
+    if (!w->hosts[i].alive
+        || cfs_raft_commit (w->hosts[i].raft)
+               < cfs_raft_commit (w->hosts[leader].raft))
+      return false;
+  return voters == WC_VOTERS && m->count == WC_VOTERS;
+}
+
+static void
+random_event (struct world_control *w)
+{
+  unsigned i = (unsigned)(cfs_random (&w->seed) % WC_VOTERS);
+  unsigned k = (unsigned)(cfs_random (&w->seed) % WC_VOTERS);
+  unsigned a = (unsigned)(cfs_random (&w->seed) % WC_AGENTS);
+
+  switch (cfs_random (&w->seed) % 12)
+    {
+    case 0:
+      wc_crash (w, i);
+      break;
+    case 1:
+    case 2:
+      if (!w->hosts[i].alive)
+        wc_start (w, i);
+      break;
+    case 3:
+      w->hosts[i].frozen = !w->hosts[i].frozen;
+      break;
+    case 4:
+      w->cut[i][k] = !w->cut[i][k];
+      break;
+    case 5:
+      memset (w->cut, 0, sizeof w->cut);
+      break;
+    case 6:
+      w->agents[a].frozen = !w->agents[a].frozen;
+      break;
+    case 7:
+      w->agents[a].cut = !w->agents[a].cut;
+      break;
+    case 8:
+      wc_agent_restart (w, a);
+      break;
+    case 9:
+      if (is_whole (w))
+        {
+          wc_crash (w, i);
+          wc_lose_disk (w, i);
+          wc_start (w, i);
+        }
+      break;
+    default:
+      patch_somewhere (w);
+      break;
+    }
+}
+
+static void
+heal (struct world_control *w)
+{
+  memset (w->cut, 0, sizeof w->cut);
+  w->loss_percent = 0;
+  for (unsigned i = 0; i < WC_VOTERS; i++)
+    {
+      w->hosts[i].frozen = false;
+      if (!w->hosts[i].alive)
+        wc_start (w, i);
+    }
+  for (unsigned i = 0; i < WC_AGENTS; i++)
+    w->agents[i].frozen = w->agents[i].cut = false;
+}
+
+/* After healing: a leader, a holder, and every host at the last version. */
+static const char *
+check_end (struct world_control *w)
+{
+  int holders = 0;
+
+  if (wc_ready (w) < 0)
+    return "no leader after healing";
+  for (unsigned i = 0; i < WC_VOTERS; i++)
+    if (w->hosts[i].state.version != w->accepted_count)
+      return "a version is missing after healing";
+  for (unsigned i = 0; i < WC_AGENTS; i++)
+    {
+      holders += wc_acts_on (w, i, "gate/orders");
+      if (w->agents[i].version != w->accepted_count)
+        return "a version is not in force after healing";
+    }
+  return holders == 1 ? NULL : "no holder after healing";
+}
+
+static bool
+run_seed (uint64_t seed)
+{
+  struct world_control *w = wc_new (seed);
+  const char *fault;
+
+  w->loss_percent = (int)(seed % 10);
+  w->duplicate_percent = 5;
+  w->jitter_us = seed % 3 ? 2000 : 40000;
+  for (unsigned i = 0; i < WC_VOTERS; i++)
+    w->hosts[i].drift_ppm = (int)(cfs_random (&w->seed) % DRIFT_PPM);
+  for (unsigned i = 0; i < WC_AGENTS; i++)
+    w->agents[i].drift_ppm = (int)(cfs_random (&w->seed) % DRIFT_PPM);
+  wc_run (w, 4 * CFS_US_PER_S);
+  for (int i = 0; i < EVENTS && !w->fault; i++)
+    {
+      random_event (w);
+      wc_run (w, (int64_t)(cfs_random (&w->seed) % 800000));
+    }
+  heal (w);
+  wc_run (w, 12 * CFS_US_PER_S);
+  fault = w->fault ? w->fault : check_end (w);
+  if (fault && getenv ("TRACE"))
+    for (unsigned i = 0; i < WC_VOTERS; i++)
+      {
+        const struct cfs_members *m = cfs_raft_members (w->hosts[i].raft);
+
+        printf ("%llx ", (unsigned long long)w->hosts[i].disk.id);
+        printf ("c%u role %d term %llu commit %llu last %llu version %llu "
+                "members",
+                i + 1, (int)cfs_raft_role (w->hosts[i].raft),
+                (unsigned long long)cfs_raft_term (w->hosts[i].raft),
+                (unsigned long long)cfs_raft_commit (w->hosts[i].raft),
+                (unsigned long long)cfs_raft_last (w->hosts[i].raft),
+                (unsigned long long)w->hosts[i].state.version);
+        for (size_t k = 0; k < m->count; k++)
+          printf (" %s:%llx%s", m->at[k].host, (unsigned long long)m->at[k].id,
+                  m->at[k].voter ? "" : "(learner)");
+        puts ("");
+      }
+  if (fault)
+    printf ("seed %llu: %s\n", (unsigned long long)seed, fault);
+  wc_free (w);
+  return !fault;
+}
+
+static void
+random_schedules_keep_the_invariants (void **state)
+{
+  uint64_t seeds = getenv ("CHECK_SHORT") ? SEEDS / 10 : SEEDS;
+  uint64_t failed = 0;
+  const char *one = getenv ("SEED");
+
+  (void)state;
+  if (one)
+    {
+      assert_true (run_seed (strtoull (one, NULL, 10)));
+      return;
+    }
+  for (uint64_t seed = 1; seed <= seeds; seed++)
+    failed += !run_seed (seed);
+  assert_int_equal (failed, 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (random_schedules_keep_the_invariants) };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/world/control.c
@@ -0,0 +1,539 @@
+/*
+ * The world checks its invariants at every step and notes the first fault:
+ * one leader a term, equal logs, committed versions that never change, and
+ * no resource that two member hosts act on at once.
+ */
+#include "control.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define GENESIS_ID 1000
+
+static void
+fault (struct world_control *w, const char *text)
+{
+  if (w->fault)
+    return;
+  snprintf (w->fault_text, sizeof w->fault_text, "%s at %lld us", text,
+            (long long)w->now);
+  w->fault = w->fault_text;
+}
+
+static int64_t
+local (const struct world_control *w, int drift_ppm)
+{
+  return w->now + w->now * drift_ppm / 1000000;
+}
+
+static int64_t
+host_now (const struct wc_host *h)
+{
+  return local (h->world, h->drift_ppm);
+}
+
+static void
+post (struct world_control *w, int from, int to, const Cfs__Peer *p)
+{
+  int copies = 1;
+
+  if (cfs_random (&w->seed) % 100 < (uint64_t)w->loss_percent)
+    copies = 0;
+  if (cfs_random (&w->seed) % 100 < (uint64_t)w->duplicate_percent)
+    copies++;
+  for (; copies > 0 && w->message_count < WC_MESSAGES; copies--)
+    {
+      struct wc_message *m = &w->messages[w->message_count++];
+
+      m->from = from;
+      m->to = to;
+      m->len = cfs__peer__get_packed_size (p);
+      m->data = cfs_alloc (m->len);
+      cfs__peer__pack (p, m->data);
+      m->at = w->now + w->delay_us
+              + (int64_t)(cfs_random (&w->seed) % (uint64_t)w->jitter_us);
+    }
+}
+
+static int
+save_vote (void *ctx, uint64_t term, uint64_t vote)
+{
+  struct wc_host *h = ctx;
+
+  if (h->disk.full)
+    return CFS_IO;
+  h->disk.term = term;
+  h->disk.vote = vote;
+  return CFS_OK;
+}
+
+static void
+copy_entry (struct cfs_entry *to, const struct cfs_entry *from)
+{
+  *to = *from;
+  to->data = cfs_alloc (from->len);
+  if (from->len)
+    memcpy (to->data, from->data, from->len);
+}
+
+static int
+append (void *ctx, const struct cfs_entry *entries, size_t count)
+{
+  struct wc_host *h = ctx;
+
+  if (h->disk.full)
+    return CFS_IO;
+  for (size_t i = 0; i < count; i++)
+    {
+      cfs_grow (&h->disk.entries, &h->disk.cap, h->disk.count,
+                sizeof *h->disk.entries);
+      copy_entry (&h->disk.entries[h->disk.count++], &entries[i]);
+    }
+  return CFS_OK;
+}
+
+static int
+truncate_log (void *ctx, uint64_t from)
+{
+  struct wc_host *h = ctx;
+
+  while (h->disk.count && h->disk.entries[h->disk.count - 1].index >= from)
+    free (h->disk.entries[--h->disk.count].data);
+  return CFS_OK;
+}
+
+static void
+copy_snapshot (struct cfs_snapshot *to, const struct cfs_snapshot *from)
+{
+  *to = *from;
+  to->data = cfs_alloc (from->len);
+  if (from->len)
+    memcpy (to->data, from->data, from->len);
+}
+
+static int
+save_snapshot (void *ctx, const struct cfs_snapshot *s)
+{
+  struct wc_host *h = ctx;
+  size_t kept = 0;
+
+  free (h->disk.snapshot.data);
+  copy_snapshot (&h->disk.snapshot, s);
+  for (size_t i = 0; i < h->disk.count; i++)
+    if (h->disk.entries[i].index <= s->index)
+      free (h->disk.entries[i].data);
+    else
+      h->disk.entries[kept++] = h->disk.entries[i];
+  h->disk.count = kept;
+  return CFS_OK;
+}
+
+static void
+send_raft (void *ctx, const char *host, const Cfs__RaftMsg *msg)
+{
+  struct wc_host *h = ctx;
+  Cfs__Peer p = CFS__PEER__INIT;
+
+  p.body_case = CFS__PEER__BODY_RAFT;
+  p.raft = (Cfs__RaftMsg *)msg;
+  post (h->world, (int)h->index, host[1] - '1', &p);
+}
+
+/* Checks that every host accepts the same version the same way. */
+static void
+check_version (struct wc_host *h)
+{
+  struct world_control *w = h->world;
+  const struct cfs_version *v;
+
+  if (h->state.version == 0 || h->state.version_count == 0)
+    return;
+  v = &h->state.versions[h->state.version_count - 1];
+  if (v->number > w->accepted_count)
+    w->accepted[w->accepted_count++] = cfs_strdup (v->request_id);
+  else if (strcmp (w->accepted[v->number - 1], v->request_id) != 0)
+    fault (w, "an accepted version changed");
+}
+
+static void
+apply (void *ctx, const struct cfs_entry *e)
+{
+  struct wc_host *h = ctx;
+
+  cfs_state_apply (&h->state, e->data, e->len, e->index);
+  check_version (h);
+}
+
+static void
+restore (void *ctx, const uint8_t *data, size_t len)
+{
+  struct wc_host *h = ctx;
+
+  cfs_state_restore (&h->state, data, len);
+  check_version (h);
+}
+
+static size_t
+image (void *ctx, uint8_t **data)
+{
+  return cfs_state_image (&((struct wc_host *)ctx)->state, data);
+}
+
+static uint64_t
+propose (void *ctx, const uint8_t *data, size_t len)
+{
+  struct wc_host *h = ctx;
+  uint64_t index = 0;
+
+  return cfs_raft_propose (h->raft, data, len, host_now (h), &index) == CFS_OK
+             ? index
+             : 0;
+}
+
+static const struct cfs_raft_ops raft_ops
+    = { save_vote, append, truncate_log, save_snapshot,
+        send_raft, apply,  restore,      image };
+static const struct cfs_leader_ops leader_ops = { propose };
+
+static void
+genesis (struct cfs_members *m)
+{
+  m->count = WC_VOTERS;
+  for (unsigned i = 0; i < WC_VOTERS; i++)
+    {
+      m->at[i].id = GENESIS_ID + i;
+      m->at[i].voter = true;
+      snprintf (m->at[i].host, CFS_NAME_MAX, "c%u", i + 1);
+    }
+}
+
+void
+wc_start (struct world_control *w, unsigned i)
+{
+  struct wc_host *h = &w->hosts[i];
+  struct cfs_raft_boot boot = { .id = h->disk.id,
+                                .term = h->disk.term,
+                                .vote = h->disk.vote,
+                                .count = h->disk.count,
+                                .seed = cfs_random (&w->seed) };
+  char name[8];
+
+  snprintf (name, sizeof name, "c%u", i + 1);
+  copy_snapshot (&boot.snapshot, &h->disk.snapshot);
+  if (boot.snapshot.members.count == 0)
+    genesis (&boot.snapshot.members);
+  boot.entries = cfs_alloc (h->disk.count * sizeof *boot.entries);
+  for (size_t k = 0; k < h->disk.count; k++)
+    copy_entry (&boot.entries[k], &h->disk.entries[k]);
+  cfs_state_init (&h->state);
+  h->leader = cfs_leader_new (&leader_ops, h, &h->state);
+  h->raft = cfs_raft_new (&raft_ops, h, &boot, name, host_now (h));
+  h->alive = true;
+  h->frozen = false;
+}
+
+void
+wc_crash (struct world_control *w, unsigned i)
+{
+  struct wc_host *h = &w->hosts[i];
+
+  if (!h->alive)
+    return;
+  cfs_raft_free (h->raft);
+  cfs_leader_free (h->leader);
+  cfs_state_end (&h->state);
+  h->alive = false;
+}
+
+void
+wc_lose_disk (struct world_control *w, unsigned i)
+{
+  struct wc_disk *d = &w->hosts[i].disk;
+
+  truncate_log (&w->hosts[i], 0);
+  free (d->snapshot.data);
+  memset (&d->snapshot, 0, sizeof d->snapshot);
+  d->term = 0;
+  d->vote = 0;
+  d->id = cfs_random (&w->seed);
+}
+
+static void
+start_agent (struct world_control *w, unsigned i)
+{
+  struct wc_agent *a = &w->agents[i];
+
+  cfs_table_end (&a->leases);
+  memset (a, 0, sizeof *a);
+  cfs_table_init (&a->leases, sizeof (struct cfs_lease));
+  a->index = i;
+  a->alive = true;
+  a->boot = cfs_random (&w->seed);
+}
+
+void
+wc_agent_restart (struct world_control *w, unsigned i)
+{
+  start_agent (w, i);
+}
+
+struct world_control *
+wc_new (uint64_t seed)
+{
+  struct world_control *w = cfs_alloc (sizeof *w);
+
+  w->seed = seed * UINT64_C (0x9E3779B97F4A7C15) + 1;
+  w->delay_us = 500;
+  w->jitter_us = 1000;
+  for (unsigned i = 0; i < WC_VOTERS; i++)
+    {
+      w->hosts[i].world = w;
+      w->hosts[i].index = i;
+      w->hosts[i].disk.id = GENESIS_ID + i;
+      genesis (&w->hosts[i].disk.snapshot.members);
+      wc_start (w, i);
+    }
+  for (unsigned i = 0; i < WC_AGENTS; i++)
+    start_agent (w, i);
+  return w;
+}
+
+void
+wc_free (struct world_control *w)
+{
+  for (unsigned i = 0; i < WC_VOTERS; i++)
+    {
+      wc_crash (w, i);
+      wc_lose_disk (w, i);
+      free (w->hosts[i].disk.entries);
+    }
+  for (unsigned i = 0; i < WC_AGENTS; i++)
+    cfs_table_end (&w->agents[i].leases);
+  for (size_t i = 0; i < w->message_count; i++)
+    free (w->messages[i].data);
+  for (uint64_t i = 0; i < w->accepted_count; i++)
+    free (w->accepted[i]);
+  free (w);
+}
+
+static void
+send_heartbeat (struct world_control *w, struct wc_agent *a)
+{
+  Cfs__Peer p = CFS__PEER__INIT;
+  Cfs__Heartbeat h = CFS__HEARTBEAT__INIT;
+  Cfs__Instance in = CFS__INSTANCE__INIT;
+  Cfs__Instance *list[1] = { &in };
+  char name[8];
+
+  if (!a->answered)
+    a->control = (a->control + 1) % WC_VOTERS;
+  snprintf (name, sizeof name, "h%u", a->index + 1);
+  h.host = name;
+  h.zone = "a";
+  h.address = "127.0.0.1";
+  h.boot = a->boot;
+  h.seq = ++a->seq;
+  h.version = a->version;
+  h.directory = a->directory;
+  h.draining = a->draining;
+  in.name = "t1";
+  in.group = "orders";
+  in.zone = "a";
+  in.primary = true;
+  in.term = 1;
+  h.instances = list;
+  h.n_instances = 1;
+  a->sent_at = local (w, a->drift_ppm);
+  a->next_at = a->sent_at + HEARTBEAT_US;
+  a->answered = false;
+  p.body_case = CFS__PEER__BODY_HEARTBEAT;
+  p.heartbeat = &h;
+  if (!a->cut)
+    post (w, WC_VOTERS + (int)a->index, (int)a->control, &p);
+}
+
+static void
+take_heartbeat (struct wc_host *h, int from, const Cfs__Heartbeat *in)
+{
+  const Cfs__HeartbeatReply *reply = NULL;
+  Cfs__HeartbeatReply denied = CFS__HEARTBEAT_REPLY__INIT;
+  Cfs__Peer out = CFS__PEER__INIT;
+  int64_t now = host_now (h);
+
+  if (cfs_raft_ready (h->raft, now))
+    reply = cfs_leader_heartbeat (h->leader, in, now);
+  denied.leader = "none";
+  out.body_case = CFS__PEER__BODY_REPLY;
+  out.reply = reply ? (Cfs__HeartbeatReply *)reply : &denied;
+  post (h->world, (int)h->index, from, &out);
+}
+
+static void
+take_reply (struct world_control *w, struct wc_agent *a,
+            const Cfs__HeartbeatReply *r)
+{
+  if (*r->leader || r->seq != a->seq)
+    return;
+  a->answered = true;
+  if (r->version < a->version)
+    return;
+  a->version = r->version;
+  if (r->directory > a->directory)
+    a->directory = r->directory;
+  for (size_t i = 0; i < r->n_assignments; i++)
+    cfs_lease_load (cfs_table_add (&a->leases, r->assignments[i]->resource),
+                    r->assignments[i]);
+  if (r->granted && a->sent_at + LEASE_US > a->lease_until)
+    a->lease_until = a->sent_at + LEASE_US;
+  (void)w;
+}
+
+bool
+wc_acts_on (struct world_control *w, unsigned i, const char *resource)
+{
+  const struct wc_agent *a = &w->agents[i];
+  const struct cfs_lease *l = cfs_table_find (&a->leases, resource);
+  char name[8];
+
+  snprintf (name, sizeof name, "h%u", i + 1);
+  return a->alive && l && l->boot == a->boot && strcmp (l->holder, name) == 0
+         && local (w, a->drift_ppm) < a->lease_until;
+}
+
+static void
+check_world (struct world_control *w)
+{
+  int ready = 0;
+  int holders = 0;
+
+  for (unsigned i = 0; i < WC_VOTERS; i++)
+    {
+      const struct wc_host *h = &w->hosts[i];
+
+      ready += h->alive && cfs_raft_ready (h->raft, host_now (h));
+    }
+  for (unsigned i = 0; i < WC_AGENTS; i++)
+    holders += wc_acts_on (w, i, "gate/orders");
+  if (ready > 1)
+    fault (w, "two leaders are ready");
+  if (holders > 1)
+    fault (w, "two hosts act on gate/orders");
+}
+
+static void
+deliver (struct world_control *w, const struct wc_message *m)
+{
+  Cfs__Peer *p = cfs__peer__unpack (NULL, m->len, m->data);
+
+  if (m->to < WC_VOTERS)
+    {
+      struct wc_host *h = &w->hosts[m->to];
+      bool cut = m->from < WC_VOTERS && w->cut[m->from][m->to];
+
+      if (h->alive && !cut && p->body_case == CFS__PEER__BODY_RAFT)
+        cfs_raft_receive (h->raft, p->raft, host_now (h));
+      else if (h->alive && p->body_case == CFS__PEER__BODY_HEARTBEAT)
+        take_heartbeat (h, m->from, p->heartbeat);
+    }
+  else
+    {
+      struct wc_agent *a = &w->agents[m->to - WC_VOTERS];
+
+      if (a->alive && !a->cut)
+        take_reply (w, a, p->reply);
+    }
+  cfs__peer__free_unpacked (p, NULL);
+}
+
+static bool
+is_frozen (const struct world_control *w, int to)
+{
+  if (to < WC_VOTERS)
+    return w->hosts[to].frozen;
+  return w->agents[to - WC_VOTERS].frozen;
+}
+
+/* Messages to a frozen process wait in its socket. */
+static void
+deliver_due (struct world_control *w)
+{
+  for (size_t i = 0; i < w->message_count;)
+    {
+      struct wc_message m = w->messages[i];
+
+      if (m.at > w->now || is_frozen (w, m.to))
+        {
+          i++;
+          continue;
+        }
+      w->messages[i] = w->messages[--w->message_count];
+      deliver (w, &m);
+      free (m.data);
+    }
+}
+
+static void
+step (struct world_control *w)
+{
+  w->now += WC_STEP_US;
+  deliver_due (w);
+  for (unsigned i = 0; i < WC_VOTERS; i++)
+    {
+      struct wc_host *h = &w->hosts[i];
+
+      if (!h->alive || h->frozen)
+        continue;
+      cfs_raft_tick (h->raft, host_now (h));
+      cfs_leader_tick (h->leader, cfs_raft_ready (h->raft, host_now (h)),
+                       cfs_raft_commit (h->raft), host_now (h));
+    }
+  for (unsigned i = 0; i < WC_AGENTS; i++)
+    {
+      struct wc_agent *a = &w->agents[i];
+
+      if (a->alive && !a->frozen && local (w, a->drift_ppm) >= a->next_at)
+        send_heartbeat (w, a);
+    }
+  check_world (w);
+}
+
+void
+wc_run (struct world_control *w, int64_t us)
+{
+  int64_t end = w->now + us;
+
+  while (w->now < end)
+    step (w);
+}
+
+int
+wc_ready (struct world_control *w)
+{
+  for (unsigned i = 0; i < WC_VOTERS; i++)
+    if (w->hosts[i].alive
+        && cfs_raft_ready (w->hosts[i].raft, host_now (&w->hosts[i])))
+      return (int)i;
+  return -1;
+}
+
+bool
+wc_patch (struct world_control *w, unsigned i, uint64_t base,
+          const char *patch, const char *request_id)
+{
+  Cfs__Command c = CFS__COMMAND__INIT;
+  Cfs__Patch p = CFS__PATCH__INIT;
+  uint8_t data[1024];
+  size_t len;
+
+  if (!w->hosts[i].alive)
+    return false;
+  p.base_version = base;
+  p.patch = (char *)patch;
+  p.who = "test";
+  p.request_id = (char *)request_id;
+  c.body_case = CFS__COMMAND__BODY_PATCH;
+  c.patch = &p;
+  len = cfs__command__pack (&c, data);
+  return propose (&w->hosts[i], data, len) != 0;
+}
