--- a/src/request/gate.c
+++ b/src/request/gate.c
@@ -311,11 +311,16 @@
   return n;
 }
 
+/* A write of an earlier term that the kept history includes stands at the
+   same position of the present term, but a majority must hold it there. */
 static bool
-may_acknowledge (const struct cfs_gate *g, const struct cfs_verdict *v)
+may_acknowledge (const struct cfs_gate *g, struct cfs_verdict *v)
 {
+  if (v->term < g->group.term
+      && route_token (&g->group, v->term, v->position) == TOKEN_VALID)
+    v->term = g->group.term;
   if (v->term != g->group.term)
-    return route_token (&g->group, v->term, v->position) == TOKEN_VALID;
+    return false;
   if (g->phase != PHASE_SERVING && g->phase != PHASE_ASKING)
     return false;
   if (g->ack_primary)
@@ -623,6 +628,21 @@
     run (g, (unsigned)c, r, now);
 }
 
+/* Tells a session that a change it has seen is gone, and where the kept
+   history goes on, so that it can go on from there. */
+static void
+refuse_lost (struct cfs_gate *g, struct cfs_request *r)
+{
+  struct cfs_verdict v
+      = { .code = CFS_CODE_WRITE_LOST, .outcome = CFS_NOT_RUN };
+
+  v.term = g->group.term;
+  if (g->group.branch_count)
+    v.position = g->group.branches[g->group.branch_count - 1].start;
+  g->stats.refused++;
+  g->ops->answer (g->ctx, r, &v);
+}
+
 static unsigned
 serving_slots (const struct cfs_gate *g, enum cfs_lane lane)
 {
@@ -677,9 +697,9 @@
   if (g->epoch == epoch)
     return;
   g->epoch = 0;
-  turn_away (g);
   drop_connections (g, now);
   gate_settle (g, now);
+  turn_away (g);
   g->epoch = epoch;
   g->draining = false;
   g->used_term = 0;
@@ -772,7 +792,7 @@
     }
   if (route_token (&g->group, r->token_term, r->token_position) == TOKEN_LOST)
     {
-      answer (g, r, CFS_CODE_WRITE_LOST, CFS_NOT_RUN, NULL);
+      refuse_lost (g, r);
       return;
     }
   wait = cfs_fair_wait (&g->fair, r->team, r->weight, serving_slots (g, lane));
@@ -832,7 +852,7 @@
 {
   struct gate_instance *in = &g->inst[inst];
 
-  if (inst >= g->inst_count)
+  if (inst >= g->inst_count || sent_at < in->probe_sent_at)
     return;
   in->term = term;
   in->position = position;
@@ -903,9 +923,9 @@
   while ((r = cfs_fair_expire (&g->fair, now)))
     answer (g, r, CFS_CODE_DEADLINE, given_up (r), NULL);
   gate_settle (g, now);
+  check_connections (g, now);
   if (!gate_leased (g, now))
     return;
-  check_connections (g, now);
   send_probes (g, now);
   warm_connections (g, now);
   promote_tick (g, now);
--- a/src/request/gate_int.h
+++ b/src/request/gate_int.h
@@ -108,6 +108,8 @@
   unsigned chosen;
   uint64_t promoted_start;
   uint64_t used_term;
+  uint64_t kept;
+  bool chosen_line;
   int64_t stall_since;
   uint64_t stall_position;
   int64_t pause_base;
--- a/src/request/promote.c
+++ b/src/request/promote.c
@@ -75,20 +75,43 @@
     return true;
   if (in->leaving && in->running + in->pinned + g->ack_count == 0)
     return true;
-  if (in->probed_at > g->phase_at
+  if (in->probe_sent_at > g->phase_at
       && (in->term != g->group.term || !in->primary))
     return true;
   return primary_silent (g, (unsigned)primary, now)
          || replication_stalled (g, primary, now);
 }
 
-/* Whether the history of a is further than that of b. */
+/* How much of the present term's history an instance certainly holds.  One
+   of an older term may have gone its own way behind the next branch; one of
+   a term that was never recorded did so behind its start. */
+static uint64_t
+kept_position (const struct cfs_gate *g, const struct gate_instance *in)
+{
+  uint64_t limit = in->position;
+
+  if (in->term > g->group.term)
+    return in->start < limit ? in->start : limit;
+  for (size_t i = 0; i < g->group.branch_count; i++)
+    if (g->group.branches[i].term > in->term
+        && g->group.branches[i].start < limit)
+      limit = g->group.branches[i].start;
+  return limit;
+}
+
+/* Whether a holds more than b; of two equal ones, whether a is better. */
 static bool
-further (const struct gate_instance *a, const struct gate_instance *b)
+further (const struct cfs_gate *g, const struct gate_instance *a,
+         const struct gate_instance *b)
 {
-  if (a->term != b->term)
-    return a->term > b->term;
-  return a->position > b->position;
+  uint64_t x = kept_position (g, a);
+  uint64_t y = kept_position (g, b);
+
+  if (x != y)
+    return x > y;
+  if (a->leaving != b->leaving)
+    return b->leaving;
+  return a->term == g->group.term && b->term != g->group.term;
 }
 
 /* The instance that holds every acknowledged write, or -1 while too few
@@ -110,13 +133,12 @@
       if (in->probe_sent_at < g->phase_at || in->probed_at < g->phase_at)
         continue;
       heard++;
-      if (best_any < 0 || further (in, &g->inst[best_any]))
+      if (best_any < 0 || further (g, in, &g->inst[best_any]))
         best_any = (int)i;
       if ((int)i == primary)
         continue;
       heard_others++;
-      if (best < 0 || further (in, &g->inst[best])
-          || (g->inst[best].leaving && !further (&g->inst[best], in)))
+      if (best < 0 || further (g, in, &g->inst[best]))
         best = (int)i;
     }
   if (heard_others > g->size - gate_majority (g) && best >= 0)
@@ -132,6 +154,8 @@
   if (best < 0)
     return;
   g->chosen = (unsigned)best;
+  g->kept = kept_position (g, &g->inst[best]);
+  g->chosen_line = g->inst[best].term == g->group.term;
   g->used_term = g->group.granted_term;
   promote_phase (g, PHASE_PROMOTING, now);
   g->ops->promote (g->ctx, g->chosen, g->group.granted_term);
@@ -145,7 +169,7 @@
   if (in->primary && in->term == g->group.granted_term
       && in->probe_sent_at >= g->phase_at)
     {
-      g->promoted_start = in->start;
+      g->promoted_start = g->chosen_line ? in->start : g->kept;
       g->stats.promotions++;
       promote_phase (g, PHASE_CONFIRMING, now);
       return;
--- a/src/request/route.c
+++ b/src/request/route.c
@@ -50,10 +50,12 @@
     return TOKEN_VALID;
   if (term > group->term)
     return TOKEN_AHEAD;
+  if (group->branch_count == 0 || term < group->branches[0].term)
+    return TOKEN_LOST;
   for (size_t i = 0; i < group->branch_count; i++)
-    if (group->branches[i].term > term)
-      return position <= group->branches[i].start ? TOKEN_VALID : TOKEN_LOST;
-  return TOKEN_LOST;
+    if (group->branches[i].term > term && position > group->branches[i].start)
+      return TOKEN_LOST;
+  return TOKEN_VALID;
 }
 
 static bool
