--- a/src/request/gate.c
+++ b/src/request/gate.c
@@ -32,6 +32,7 @@
   .reachable_us = 300 * CFS_US_PER_MS,
   .replica_wait_us = 100 * CFS_US_PER_MS,
   .leave_us = 2 * CFS_US_PER_S,
+  .drain_idle_us = 3 * CFS_US_PER_S,
   .transaction_us = 30 * CFS_US_PER_S,
   .extra_percent = 50,
   .attempts = 4,
@@ -936,15 +937,21 @@
 bool
 cfs_gate_drain (struct cfs_gate *g, int64_t now)
 {
+  bool busy = false;
+
   g->draining = true;
   turn_away (g);
   gate_settle (g, now);
-  if (g->ack_count)
-    return false;
   for (unsigned c = 0; c < CONN_COUNT; c++)
-    if (g->conn[c].state == CONN_BUSY || g->conn[c].state == CONN_PINNED)
-      return false;
-  return true;
+    {
+      const struct gate_conn *conn = &g->conn[c];
+
+      if (conn->state == CONN_PINNED
+          && now - conn->idle_since > g->tuning.drain_idle_us)
+        close_conn (g, c);
+      busy |= conn->state == CONN_BUSY || conn->state == CONN_PINNED;
+    }
+  return !busy && g->ack_count == 0;
 }
 
 bool
--- a/src/request/gate.h
+++ b/src/request/gate.h
@@ -29,6 +29,7 @@
   int64_t replica_wait_us; /* longest wait for a replica to catch up */
   int64_t leave_us;        /* longest wait for a leaving primary's work */
   int64_t transaction_us;  /* idle time after which one is rolled back */
+  int64_t drain_idle_us;   /* the same while the gate is drained */
   unsigned extra_percent;  /* statements admitted beyond the slots */
   unsigned attempts;       /* times one request may be sent */
   double retry_ratio;      /* retries earned by each request */
--- a/tests/unit/gate_random.c
+++ b/tests/unit/gate_random.c
@@ -164,7 +164,11 @@
       return;
     }
   for (uint64_t seed = 1; seed <= seeds; seed++)
-    failed += !run_seed (seed);
+    {
+      failed += !run_seed (seed);
+      if (failed && getenv ("STOP_FIRST"))
+        break;
+    }
   assert_int_equal (failed, 0);
 }
 
--- a/tests/unit/limit_random.c
+++ b/tests/unit/limit_random.c
@@ -67,7 +67,11 @@
       return;
     }
   for (uint64_t seed = 1; seed <= seeds; seed++)
-    failed += !run_seed (seed);
+    {
+      failed += !run_seed (seed);
+      if (failed && getenv ("STOP_FIRST"))
+        break;
+    }
   assert_int_equal (failed, 0);
 }
 
--- a/tests/world/gate.c
+++ b/tests/world/gate.c
@@ -115,6 +115,7 @@
   unsigned inst = inst_of (h, conn);
   struct wg_event *e;
 
+  ((struct wg_request *)r->payload)->sent++;
   if (inst == WG_INSTANCES)
     {
       struct cfs_ran_result lost = { .ran = RAN_NOT_RUN };
@@ -896,7 +897,7 @@
            q->executed);
       fault (w, "never answered", q->name);
     }
-  if (q->request.once && q->executed > 1)
+  if (q->request.once && q->sent > 1)
     fault (w, "sent to a target more than once", q->name);
   if (!write)
     return;
--- a/tests/world/gate.h
+++ b/tests/world/gate.h
@@ -55,7 +55,7 @@
   struct cfs_request request;
   char name[32], session[16];
   bool used, answered, read;
-  int executed;
+  int executed, sent;
   enum cfs_code code;
   enum cfs_outcome outcome;
   int64_t submitted_at, answered_at;
