--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,8 @@
 $(BUILD)/tests/%: $(BUILD)/tests/unit/%.o $(WORLD_OBJECTS) $(BUILD)/libcore.a
 	$(CC) $(CFLAGS) $^ -o $@ $(LIBS) -lcmocka
 
-$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/bench/common.o $(BUILD)/libcore.a
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/bench/common.o $(WORLD_OBJECTS) \
+  $(BUILD)/libcore.a
 	$(CC) $(CFLAGS) $^ -o $@ $(LIBS)
 
 check: all $(UNITS)
--- a/src/request/gate.c
+++ b/src/request/gate.c
@@ -724,6 +724,12 @@
   g->ack_primary = ack_primary;
 }
 
+void
+cfs_gate_wait_for_replica (struct cfs_gate *g, bool wait)
+{
+  g->tuning.wait_for_replica = wait;
+}
+
 void
 cfs_gate_group (struct cfs_gate *g, const struct cfs_group *group, int64_t now)
 {
--- a/src/request/gate.h
+++ b/src/request/gate.h
@@ -179,6 +179,9 @@
 void cfs_gate_configure (struct cfs_gate *gate, unsigned size,
                          bool ack_primary);
 
+/** cfs_gate_wait_for_replica() - policy of reads that no replica can serve */
+void cfs_gate_wait_for_replica (struct cfs_gate *gate, bool wait);
+
 /** cfs_gate_group() - terms of the group as the control group decided */
 void cfs_gate_group (struct cfs_gate *gate, const struct cfs_group *group,
                      int64_t now);
