--- /dev/null
+++ b/bench/bench_fair.c
@@ -0,0 +1,305 @@
+/*
+ * The fair queue before one fake target of five slots: eight teams within
+ * their share, one of them sends eight times its rate; then overload at
+ * three times the capacity for a minute; then the gate against direct
+ * shares of connections held by ten hosts.
+ */
+#include "../tests/world/gate.h"
+#include "common.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TEAMS 8
+#define SLOTS 5
+#define SERVICE_US 5000
+#define HOSTS 10
+#define SECONDS 30
+/* Heavy tail: one statement in twenty takes ten times as long. */
+#define TAIL_SHARE 0.05
+#define TAIL_FACTOR 10
+
+struct job
+{
+  struct cfs_request request;
+  int64_t service;
+  unsigned team;
+};
+
+struct server
+{
+  struct job *job;
+  int64_t end;
+};
+
+static double
+service (uint64_t *seed)
+{
+  double mean = SERVICE_US / (1 - TAIL_SHARE + TAIL_SHARE * TAIL_FACTOR);
+
+  if (bench_uniform (seed) < TAIL_SHARE)
+    mean *= TAIL_FACTOR;
+  return bench_exponential (seed, mean);
+}
+
+static struct job *
+new_job (unsigned team, int64_t now, uint64_t *seed)
+{
+  struct job *j = cfs_alloc (sizeof *j);
+
+  snprintf (j->request.team, CFS_NAME_MAX, "team-%u", team);
+  j->request.weight = 1;
+  j->request.payload = j;
+  j->request.arrived_at = now;
+  j->request.deadline = CFS_NEVER;
+  j->team = team;
+  j->service = (int64_t)service (seed) + 1;
+  return j;
+}
+
+static bool
+any (void *ctx, struct cfs_request *r)
+{
+  (void)ctx;
+  (void)r;
+  return true;
+}
+
+/* Serves one queue with SLOTS servers up to @now; adds waits by team. */
+static void
+serve (struct cfs_fair *f, struct server *servers, int64_t now,
+       struct bench_series *waits)
+{
+  for (unsigned i = 0; i < SLOTS; i++)
+    {
+      struct cfs_request *r;
+
+      if (servers[i].job && servers[i].end > now)
+        continue;
+      if (servers[i].job)
+        {
+          struct job *j = servers[i].job;
+
+          cfs_fair_done (f, &j->request, j->service);
+          bench_add (&waits[j->team],
+                     (double)(servers[i].end - j->request.arrived_at)
+                         / CFS_US_PER_MS);
+          free (j);
+          servers[i].job = NULL;
+        }
+      r = cfs_fair_pop (f, CFS_LANE_READ, any, NULL);
+      if (!r)
+        continue;
+      servers[i].job = r->payload;
+      servers[i].end = now + servers[i].job->service;
+    }
+}
+
+/* Worst p99 of the teams within their rate; team 0 sends @factor times. */
+static double
+worst_p99 (enum cfs_fair_policy policy, double factor, uint64_t seed)
+{
+  struct cfs_fair f;
+  struct server servers[SLOTS] = { { NULL, 0 } };
+  struct bench_series waits[TEAMS] = { { NULL, 0, 0 } };
+  double next[TEAMS] = { 0 };
+  double mean = SERVICE_US * TEAMS / (SLOTS * 0.5);
+  double worst = 0;
+
+  cfs_fair_init (&f, policy);
+  for (int64_t now = 0; now < SECONDS * CFS_US_PER_S; now += 200)
+    {
+      for (unsigned t = 0; t < TEAMS; t++)
+        while (next[t] <= (double)now)
+          {
+            struct job *j = new_job (t, now, &seed);
+
+            if (cfs_fair_push (&f, CFS_LANE_READ, &j->request) != CFS_OK)
+              free (j);
+            next[t] += bench_exponential (&seed, t ? mean : mean / factor);
+          }
+      serve (&f, servers, now, waits);
+    }
+  for (unsigned t = 0; t < TEAMS; t++)
+    {
+      double p99 = bench_percentile (&waits[t], 0.99);
+
+      if (t && p99 > worst)
+        worst = p99;
+      bench_end (&waits[t]);
+    }
+  for (struct cfs_request *r;
+       (r = cfs_fair_pop (&f, CFS_LANE_READ, any, NULL));)
+    free (r->payload);
+  for (unsigned i = 0; i < SLOTS; i++)
+    free (servers[i].job);
+  cfs_fair_end (&f);
+  return worst;
+}
+
+/* The target shares its work evenly between what runs there, so statements
+   beyond its slots slow each other down.  A queue admits @limit of them;
+   with several queues each host has its own limit. */
+static void
+share_work (uint64_t seed, unsigned slots, unsigned queues, unsigned limit,
+            struct bench_series *out)
+{
+  enum { JOBS = 4096 };
+  static struct { double left; int64_t at; unsigned queue; bool used, runs; }
+      jobs[JOBS];
+  unsigned running[HOSTS] = { 0 };
+  double next = 0;
+  double mean = SERVICE_US / (slots * 0.8);
+  size_t head = 0;
+  size_t tail = 0;
+
+  memset (jobs, 0, sizeof jobs);
+  for (int64_t now = 0; now < 20 * CFS_US_PER_S; now += 200)
+    {
+      unsigned total = 0;
+      double speed;
+
+      while (next <= (double)now && tail - head < JOBS)
+        {
+          jobs[tail % JOBS].left = service (&seed);
+          jobs[tail % JOBS].at = now;
+          jobs[tail % JOBS].queue = (unsigned)(cfs_random (&seed) % queues);
+          jobs[tail % JOBS].used = true;
+          jobs[tail % JOBS].runs = false;
+          tail++;
+          next += bench_exponential (&seed, mean);
+        }
+      for (unsigned q = 0; q < queues; q++)
+        total += running[q];
+      speed = total > slots ? (double)slots / total : 1;
+      for (size_t i = head; i < tail; i++)
+        {
+          unsigned q = jobs[i % JOBS].queue;
+
+          if (!jobs[i % JOBS].used)
+            continue;
+          if (!jobs[i % JOBS].runs && running[q] < limit)
+            {
+              jobs[i % JOBS].runs = true;
+              running[q]++;
+            }
+          if (!jobs[i % JOBS].runs)
+            continue;
+          jobs[i % JOBS].left -= 200 * speed;
+          if (jobs[i % JOBS].left > 0)
+            continue;
+          bench_add (out, (double)(now - jobs[i % JOBS].at) / CFS_US_PER_MS);
+          running[q]--;
+          jobs[i % JOBS].used = false;
+        }
+      while (head < tail && !jobs[head % JOBS].used)
+        head++;
+    }
+}
+
+static void
+compare_shares (struct bench *b, const char *name, unsigned slots,
+                unsigned queues, unsigned limit)
+{
+  struct bench_series s = { NULL, 0, 0 };
+  char figure[96];
+
+  share_work (7, slots, queues, limit, &s);
+  snprintf (figure, sizeof figure, "%u slots, %s, p50", slots, name);
+  bench_report (b, figure, bench_percentile (&s, 0.5), "ms");
+  snprintf (figure, sizeof figure, "%u slots, %s, p99", slots, name);
+  bench_report (b, figure, bench_percentile (&s, 0.99), "ms");
+  bench_end (&s);
+}
+
+/* Counts of one overload run. */
+struct overload
+{
+  double done;
+  double late;
+  double refused_early;
+};
+
+static void
+count_answers (const struct world_gate *w, int64_t end, struct overload *o)
+{
+  for (int i = 0; i < w->request_count; i++)
+    {
+      const struct wg_request *q = &w->requests[i];
+      bool in_time = q->outcome == CFS_DONE
+                     && q->answered_at - q->submitted_at < 2 * CFS_US_PER_S;
+
+      o->done += q->outcome == CFS_DONE && q->answered_at < end;
+      o->late += q->submitted_at > end + 2 * CFS_US_PER_S && !in_time;
+      o->refused_early += q->code == CFS_CODE_OVERLOADED
+                          && q->answered_at == q->submitted_at;
+    }
+}
+
+/* Three times the capacity for a minute on the real gate, then half of it.
+   Slow statements keep the number of requests small. */
+static void
+overload (struct bench *b)
+{
+  enum { SLOW_US = 250000, MINUTE_S = 60, AFTER_S = 6 };
+  struct world_gate *w = wg_new (3, NULL);
+  struct overload o = { 0, 0, 0 };
+  uint64_t seed = 5;
+  double next = (double)w->now;
+  int64_t end = w->now + MINUTE_S * CFS_US_PER_S;
+  double capacity = SLOTS * 1e6 / SLOW_US;
+  const struct cfs_gate_stats *stats = cfs_gate_stats (w->hosts[0].gate);
+
+  w->service_us = SLOW_US;
+  cfs_gate_configure (w->hosts[0].gate, WG_INSTANCES, true);
+  while (w->now < end + AFTER_S * CFS_US_PER_S)
+    {
+      double rate = w->now < end ? 3 * capacity : 0.5 * capacity;
+
+      while (next <= (double)w->now)
+        {
+          wg_submit (w, "w", CFS_WRITE, "", "", false, "", 4 * CFS_US_PER_S,
+                     0);
+          next += bench_exponential (&seed, 1e6 / rate);
+        }
+      wg_run (w, WG_STEP_US);
+    }
+  wg_run (w, 5 * CFS_US_PER_S);
+  count_answers (w, end, &o);
+  bench_at_least (b, "goodput at 3 times the capacity, of capacity",
+                  100 * o.done / (MINUTE_S * capacity), "%", 90);
+  bench_at_most (b, "sent for each asked",
+                 (double)stats->sent / (double)stats->asked, "", 1.1);
+  bench_at_most (b, "late or failed 2 s after the overload", o.late,
+                 "requests", 0);
+  bench_report (b, "refused early, of all",
+                100 * o.refused_early / w->request_count, "%");
+  wg_free (w);
+}
+
+int
+main (void)
+{
+  struct bench b = { "fair", 0 };
+  double alone = worst_p99 (FAIR_VIRTUAL_TIME, 1, 21);
+
+  bench_report (&b, "worst team's p99, alone", alone, "ms");
+  bench_at_most (&b, "worst team's p99 beside 8 times the rate, to alone",
+                 worst_p99 (FAIR_VIRTUAL_TIME, 8, 21) / alone, "times", 1.5);
+  bench_report (&b, "the same, round robin",
+                worst_p99 (FAIR_ROUND_ROBIN, 8, 21) / alone, "times");
+  bench_report (&b, "the same, first come",
+                worst_p99 (FAIR_FIRST_COME, 8, 21) / alone, "times");
+  for (unsigned slots = 2; slots <= 5; slots += 3)
+    {
+      compare_shares (&b, "gate admits the slots", slots, 1, slots);
+      compare_shares (&b, "gate admits half more", slots, 1,
+                      slots + (slots + 1) / 2);
+      compare_shares (&b, "gate admits twice", slots, 1, slots * 2);
+      compare_shares (&b, "gate admits all", slots, 1, 34);
+      compare_shares (&b, "ten hosts, 3 each", slots, HOSTS, 3);
+      compare_shares (&b, "ten hosts, 1 each", slots, HOSTS, 1);
+    }
+  overload (&b);
+  return b.missed != 0;
+}
