--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -208,8 +208,7 @@
           moved += !f->dead[strtoul (l->holder + 5, NULL, 10)];
         }
     }
-  while (moved < f->state.leases.count
-         && f->now < start + 20 * CFS_US_PER_S);
+  while (moved < f->state.leases.count && f->now < start + 20 * CFS_US_PER_S);
   sent += round_of (f, false);
   say (b, f->hosts, "zone lost, until all leases moved",
        (double)(f->now - start) / CFS_US_PER_MS, "ms");
@@ -246,8 +245,7 @@
   free (image);
   if (hosts == HOSTS_MAX)
     bench_at_most (b, "400 hosts: control bytes a node",
-                   (double)bytes / beats * per_s, "bytes/s",
-                   NODE_BYTES_PER_S);
+                   (double)bytes / beats * per_s, "bytes/s", NODE_BYTES_PER_S);
   f->directory[0] = 0;
   f->version[0] = 0;
   say (b, hosts, "first reply to a host that starts",
--- a/bench/bench_fair.c
+++ b/bench/bench_fair.c
@@ -144,9 +144,17 @@
 share_work (uint64_t seed, unsigned slots, unsigned queues, unsigned limit,
             struct bench_series *out)
 {
-  enum { JOBS = 4096 };
-  static struct { double left; int64_t at; unsigned queue; bool used, runs; }
-      jobs[JOBS];
+  enum
+  {
+    JOBS = 4096
+  };
+  static struct
+  {
+    double left;
+    int64_t at;
+    unsigned queue;
+    bool used, runs;
+  } jobs[JOBS];
   unsigned running[HOSTS] = { 0 };
   double next = 0;
   double mean = SERVICE_US / (slots * 0.8);
@@ -241,7 +249,12 @@
 static void
 overload (struct bench *b)
 {
-  enum { SLOW_US = 250000, MINUTE_S = 60, AFTER_S = 6 };
+  enum
+  {
+    SLOW_US = 250000,
+    MINUTE_S = 60,
+    AFTER_S = 6
+  };
   struct world_gate *w = wg_new (3, NULL);
   struct overload o = { 0, 0, 0 };
   uint64_t seed = 5;
