Half the memory an idle caller, fewer instructions a statement

Cause: each caller had a pool of 16 kB, and each tick and statement walked 512 rows of connections of which a handful are used. Change: pool of 8 kB, for which a session spans 16 groups instead of 32 (its header and cookie must both fit); loops end at the highest row ever used.

--- a/src/connection/http.c
+++ b/src/connection/http.c
@@ -11,7 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define CONNECTION_MEMORY 16384
+#define CONNECTION_MEMORY 8192
 #define CONNECTION_TIMEOUT_S 30
 #define CONNECTIONS_MAX 16384
 #define COOKIE_NAME "coltsfootstage-session"
--- a/src/connection/pg.c
+++ b/src/connection/pg.c
@@ -102,6 +102,7 @@
   struct cfs_pg_setup setup;
   struct cfs_gate *gate;
   struct link links[LINKS + GATE_INSTANCES_MAX];
+  unsigned top;
 };
 
 static void link_ready (void *ctx, int events);
@@ -317,6 +318,8 @@
 
   reset_link (l);
   l->inst = inst;
+  if (conn >= pg->top)
+    pg->top = conn + 1;
   start_connect (l);
 }
 
@@ -708,30 +711,48 @@
     flush_link (l);
 }
 
+/* Calls a function on each link that was ever used. */
+static void
+each_link (struct cfs_pg *pg, void (*call) (struct link *l, int64_t now),
+           int64_t now)
+{
+  for (unsigned i = 0; i < pg->top; i++)
+    call (&pg->links[i], now);
+  for (unsigned i = 0; i < GATE_INSTANCES_MAX; i++)
+    call (&pg->links[LINKS + i], now);
+}
+
+static void
+tick_link (struct link *l, int64_t now)
+{
+  bool slow
+      = l->state == LINK_CONNECTING && now - l->since > CONNECT_TIMEOUT_US;
+
+  if (l->probe && l->state == LINK_RUNNING
+      && now - l->since > PROBE_TIMEOUT_US)
+    slow = true;
+  if (slow)
+    link_failed (l);
+}
+
+static void
+pump_link (struct link *l, int64_t now)
+{
+  (void)now;
+  if (!l->done)
+    return;
+  l->done = false;
+  link_failed (l);
+}
+
 void
 cfs_pg_tick (struct cfs_pg *pg, int64_t now)
 {
-  for (unsigned i = 0; i < LINKS + GATE_INSTANCES_MAX; i++)
-    {
-      struct link *l = &pg->links[i];
-      bool slow
-          = l->state == LINK_CONNECTING && now - l->since > CONNECT_TIMEOUT_US;
-
-      if (l->probe && l->state == LINK_RUNNING
-          && now - l->since > PROBE_TIMEOUT_US)
-        slow = true;
-      if (slow)
-        link_failed (l);
-    }
+  each_link (pg, tick_link, now);
 }
 
 void
 cfs_pg_pump (struct cfs_pg *pg)
 {
-  for (unsigned i = 0; i < LINKS + GATE_INSTANCES_MAX; i++)
-    if (pg->links[i].done)
-      {
-        pg->links[i].done = false;
-        link_failed (&pg->links[i]);
-      }
+  each_link (pg, pump_link, 0);
 }
--- a/src/connection/token.h
+++ b/src/connection/token.h
@@ -10,8 +10,8 @@
 
 #include "../cfs.h"
 
-#define TOKEN_GROUPS_MAX 32
-#define TOKEN_TEXT_MAX 6144
+#define TOKEN_GROUPS_MAX 16
+#define TOKEN_TEXT_MAX 2112
 #define TOKEN_KEY_BYTES 32
 
 /** struct cfs_token_entry - position seen in one group */
--- a/src/request/gate.c
+++ b/src/request/gate.c
@@ -115,7 +115,7 @@
 static bool
 key_is_busy (const struct cfs_gate *g, const struct cfs_request *r)
 {
-  for (unsigned c = 0; c < CONN_COUNT; c++)
+  for (unsigned c = 0; c < g->conn_top; c++)
     {
       const struct cfs_request *o = g->conn[c].request;
 
@@ -396,7 +396,7 @@
 static void
 drop_connections (struct cfs_gate *g, int64_t now)
 {
-  for (unsigned c = 0; c < CONN_COUNT; c++)
+  for (unsigned c = 0; c < g->conn_top; c++)
     if (g->conn[c].state != CONN_FREE)
       abort_conn (g, c, now);
 }
@@ -426,7 +426,7 @@
 static int
 transaction_conn (const struct cfs_gate *g, const struct cfs_request *r)
 {
-  for (unsigned c = 0; c < CONN_COUNT; c++)
+  for (unsigned c = 0; c < g->conn_top; c++)
     if (*g->conn[c].transaction
         && strcmp (g->conn[c].transaction, r->transaction) == 0
         && strcmp (g->conn[c].team, r->team) == 0)
@@ -562,7 +562,7 @@
     return;
   if (group->branch_count)
     route_branch (g, group->branches[group->branch_count - 1].start);
-  for (unsigned c = 0; c < CONN_COUNT; c++)
+  for (unsigned c = 0; c < g->conn_top; c++)
     if (*g->conn[c].transaction)
       abort_conn (g, c, now);
   if (g->epoch)
@@ -720,7 +720,7 @@
 static void
 check_connections (struct cfs_gate *g, int64_t now)
 {
-  for (unsigned c = 0; c < CONN_COUNT; c++)
+  for (unsigned c = 0; c < g->conn_top; c++)
     {
       const struct gate_conn *conn = &g->conn[c];
 
@@ -771,7 +771,7 @@
   g->draining = true;
   turn_away (g);
   gate_settle (g, now);
-  for (unsigned c = 0; c < CONN_COUNT; c++)
+  for (unsigned c = 0; c < g->conn_top; c++)
     {
       const struct gate_conn *conn = &g->conn[c];
 
--- a/src/request/gate_int.h
+++ b/src/request/gate_int.h
@@ -118,7 +118,8 @@
   int64_t ticked_at;
   struct gate_instance inst[GATE_INSTANCES_MAX];
   unsigned inst_count;
-  struct gate_conn conn[GATE_CONNECTIONS_MAX * GATE_INSTANCES_MAX];
+  struct gate_conn conn[CONN_COUNT];
+  unsigned conn_top;
   struct cfs_fair fair;
   struct gate_ack *acks;
   size_t ack_count;
