Targets' bytes are searched for keys; unused calls removed

Cause: the promise that no target sees a key rested on logs; six public calls and a code had no caller. Change: the stand-in records what it receives and the service test searches it; no_target is now said when nobody holds the group's gate.

--- a/src/cfs.c
+++ b/src/cfs.c
@@ -36,7 +36,6 @@
   [CFS_CODE_TRANSACTION_LOST] = { "transaction_lost", 409 },
   [CFS_CODE_TRANSACTION_BUSY] = { "transaction_busy", 409 },
   [CFS_CODE_KEY_REUSED] = { "idempotency_key_reused", 422 },
-  [CFS_CODE_STALE_VERSION] = { "stale_version", 412 },
   [CFS_CODE_DRAINING] = { "draining", 503 },
 };
 
--- a/src/connection/http.c
+++ b/src/connection/http.c
@@ -276,12 +276,6 @@
   return lookup (c, MHD_COOKIE_KIND, name);
 }
 
-const char *
-cfs_call_query (const struct cfs_call *c, const char *name)
-{
-  return lookup (c, MHD_GET_ARGUMENT_KIND, name);
-}
-
 const char *
 cfs_call_body (const struct cfs_call *c)
 {
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -72,9 +72,6 @@
 /** cfs_call_cookie() - value of a cookie, or NULL */
 const char *cfs_call_cookie (const struct cfs_call *call, const char *name);
 
-/** cfs_call_query() - value of a query field, or NULL */
-const char *cfs_call_query (const struct cfs_call *call, const char *name);
-
 /** cfs_call_body() - terminated body, "" when there is none */
 const char *cfs_call_body (const struct cfs_call *call);
 
--- a/src/process/directory.c
+++ b/src/process/directory.c
@@ -21,7 +21,7 @@
 void
 cfs_directory_end (struct cfs_directory *d)
 {
-  cfs_conf_unref (d->conf);
+  cfs_conf_free (d->conf);
   cfs_table_end (&d->leases);
   cfs_table_end (&d->groups);
 }
@@ -38,7 +38,7 @@
   next = cfs_conf_parse (*r->document ? r->document : "{}", r->version, NULL);
   if (!next)
     return false;
-  cfs_conf_unref (d->conf);
+  cfs_conf_free (d->conf);
   d->conf = next;
   return true;
 }
--- a/src/process/leader.c
+++ b/src/process/leader.c
@@ -269,7 +269,7 @@
 {
   if (l->conf && l->conf->version == l->state->version)
     return;
-  cfs_conf_unref (l->conf);
+  cfs_conf_free (l->conf);
   l->conf = cfs_conf_parse (l->state->document, l->state->version, NULL);
 }
 
@@ -543,7 +543,7 @@
 {
   if (!l)
     return;
-  cfs_conf_unref (l->conf);
+  cfs_conf_free (l->conf);
   cfs_table_end (&l->hosts);
   cfs_table_end (&l->instances);
   cfs_table_end (&l->releases);
@@ -620,9 +620,3 @@
 {
   return &l->hosts;
 }
-
-const struct cfs_table *
-cfs_leader_instances (const struct cfs_leader *l)
-{
-  return &l->instances;
-}
--- a/src/process/leader.h
+++ b/src/process/leader.h
@@ -124,7 +124,4 @@
 /** cfs_leader_hosts() - rows of struct cfs_host, read only */
 const struct cfs_table *cfs_leader_hosts (const struct cfs_leader *leader);
 
-/** cfs_leader_instances() - rows of struct cfs_instance, read only */
-const struct cfs_table *cfs_leader_instances (const struct cfs_leader *leader);
-
 #endif
--- a/src/process/raft.c
+++ b/src/process/raft.c
@@ -784,9 +784,3 @@
   return r->role == RAFT_LEADER && r->commit >= r->term_start
          && now - confirmed_at (r, now) < window;
 }
-
-const struct cfs_entry *
-cfs_raft_find (const struct cfs_raft *r, uint64_t index)
-{
-  return raft_entry_at (r, index);
-}
--- a/src/process/raft.h
+++ b/src/process/raft.h
@@ -192,11 +192,4 @@
  */
 bool cfs_raft_ready (const struct cfs_raft *raft, int64_t now);
 
-/**
- * cfs_raft_find() - entry at an index
- * Return: the entry, owned by the log, or NULL when not in memory.
- */
-const struct cfs_entry *cfs_raft_find (const struct cfs_raft *raft,
-                                       uint64_t index);
-
 #endif
--- a/src/request/entry.c
+++ b/src/request/entry.c
@@ -420,6 +420,16 @@
                   "the gate was lost");
 }
 
+/* Why a job is late: nobody holds the gate of its group, or time ran out. */
+static enum cfs_code
+late_code (const struct entry_job *j)
+{
+  bool held = cfs_directory_holder (j->entry->setup.directory, GATE_PREFIX,
+                                    j->group);
+
+  return held ? CFS_CODE_DEADLINE : CFS_CODE_NO_TARGET;
+}
+
 static void
 tick_job (struct entry_job *j, int64_t now)
 {
@@ -427,7 +437,7 @@
     return;
   if (now >= j->request.deadline)
     {
-      entry_finish (j, CFS_CODE_DEADLINE, outcome_of (j), NULL);
+      entry_finish (j, late_code (j), outcome_of (j), NULL);
       return;
     }
   if (j->state == JOB_SENT)
--- a/src/request/gate.c
+++ b/src/request/gate.c
@@ -825,12 +825,6 @@
   return g->inst[inst].address;
 }
 
-unsigned
-cfs_gate_instances (const struct cfs_gate *g)
-{
-  return g->inst_count;
-}
-
 const char *
 cfs_gate_name (const struct cfs_gate *g, unsigned inst)
 {
--- a/src/request/gate.h
+++ b/src/request/gate.h
@@ -271,9 +271,6 @@
 const char *cfs_gate_address (const struct cfs_gate *gate, unsigned inst,
                               uint32_t *port);
 
-/** cfs_gate_instances() - number of known instances */
-unsigned cfs_gate_instances (const struct cfs_gate *gate);
-
 /** cfs_gate_name() - name of an instance, owned by the gate */
 const char *cfs_gate_name (const struct cfs_gate *gate, unsigned inst);
 
--- a/src/version/conf.c
+++ b/src/version/conf.c
@@ -239,27 +239,19 @@
     }
   c = cfs_alloc (sizeof *c);
   c->version = version;
-  c->refs = 1;
   ok = load_teams (c, doc, error) && load_keys (c, doc, error)
        && load_sheets (c, doc, error) && load_groups (c, doc, error);
   cJSON_Delete (doc);
   if (ok)
     return c;
-  cfs_conf_unref (c);
+  cfs_conf_free (c);
   return NULL;
 }
 
-struct cfs_conf *
-cfs_conf_ref (struct cfs_conf *c)
-{
-  c->refs++;
-  return c;
-}
-
 void
-cfs_conf_unref (struct cfs_conf *c)
+cfs_conf_free (struct cfs_conf *c)
 {
-  if (!c || --c->refs > 0)
+  if (!c)
     return;
   for (size_t i = 0; i < c->sheet_count; i++)
     free (c->sheets[i].sql);
@@ -293,7 +285,7 @@
       free (text);
       return NULL;
     }
-  cfs_conf_unref (check);
+  cfs_conf_free (check);
   return text;
 }
 
--- a/src/version/conf.h
+++ b/src/version/conf.h
@@ -2,8 +2,8 @@
  * DOC: One version of the configuration.
  *
  * Operators change the document by JSON merge patches (RFC 7396) against a
- * numbered version.  A parsed version is immutable and counted by
- * references within one thread.
+ * numbered version.  A parsed version is immutable and
+ * belongs to one thread.
  */
 #ifndef CFS_CONF_H
 #define CFS_CONF_H
@@ -56,7 +56,6 @@
 struct cfs_conf
 {
   uint64_t version;
-  unsigned refs;
   struct cfs_team *teams;
   size_t team_count;
   struct cfs_key *keys;
@@ -73,16 +72,13 @@
  * @version: its number
  * @error: set with file "configuration", path, found and allowed
  *
- * Return: the version with one reference, or NULL.
+ * Return: the version, freed by cfs_conf_free(), or NULL.
  */
 struct cfs_conf *cfs_conf_parse (const char *document, uint64_t version,
                                  GError **error);
 
-/** cfs_conf_ref() - takes a reference; Return: @conf */
-struct cfs_conf *cfs_conf_ref (struct cfs_conf *conf);
-
-/** cfs_conf_unref() - drops a reference and frees with the last one */
-void cfs_conf_unref (struct cfs_conf *conf);
+/** cfs_conf_free() - frees a version, NULL is passed over */
+void cfs_conf_free (struct cfs_conf *conf);
 
 /**
  * cfs_conf_patch() - applies a merge patch
--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -47,7 +47,8 @@
   local name=$1 port=$((PORT_BASE + 300 + $2))
   shift 2
   "$TARGET" --name "$name" --port "$port" --key "$ANNOUNCE_KEY" \
-    --announce $((PORT_BASE + 4)) --announce $((PORT_BASE + 5)) "$@" \
+    --announce $((PORT_BASE + 4)) --announce $((PORT_BASE + 5)) \
+    --record "$RUN/$name.received" "$@" \
     2>> "$RUN/$name.log" &
   PID[$name]=$!
 }
--- a/tests/process/service.sh
+++ b/tests/process/service.sh
@@ -44,6 +44,9 @@
 ask POST e1 $S -H "$A" -d '{"sql":"SET ROLE admin"}'
 expect "session statements are refused" '"code":"bad_request"'
 
+ask POST e1 /v1/groups/nowhere/statements -H "$A" -d '{"sql":"SELECT 1","mode":"read","deadline_ms":300}'
+expect "group that nobody knows" '"code":"no_target","outcome":"not_run"'
+
 # Sheets: only the owner, or all when open.
 ask GET e2 /v1/sheets/board -H "$B"
 expect "sheet of another team" '"code":"forbidden"'
@@ -107,8 +110,10 @@
 "$BIN" audit > "$RUN/audit.json"
 if grep -rlE "${KEY#*.}|${OTHER#*.}|$OPERATOR_KEY" "$RUN" --include='*.log' --include='audit*' --include=metrics --include='*.data'; then fail "a key shows up"; fi
 grep -rlE "${KEY#*.}" "$RUN"/*.data && fail "a key is on a disk"
+grep -q "INSERT INTO orders" "$RUN"/*.received || fail "the targets' bytes were not recorded"
+grep -laE "${KEY#*.}|${OTHER#*.}|$OPERATOR_KEY|Bearer" "$RUN"/*.received && fail "a target saw a key"
 grep -q '"who":"anna"\|"who":"ben"' "$RUN/audit.json" || fail "the audit trail names nobody"
-echo "ok no key in logs, audit, metrics, disks"
+echo "ok no key in logs, audit, metrics, disks and at targets"
 
 # A planned stop under load: no request is cut, exit status 0.
 COLTSFOOTSTAGE_KEY=$KEY "$BIN" load -u "${HTTP[e2]}" -r 100 -t 4 -w 0.5 -l stop > "$RUN/stop.load" 2>&1 &
--- a/tests/standin/target.c
+++ b/tests/standin/target.c
@@ -4,7 +4,7 @@
  * only), knows a few fixed statements over orders and stock, replicates its
  * log to its peers with a chosen lag, and can be promoted in a term.
  * Signals: USR1 cuts it off from its peers or joins it again, USR2 makes it
- * announce that it is leaving.
+ * announce that it is leaving.  --record keeps all bytes it receives.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -81,6 +81,7 @@
 static int upstream = -1, running_jobs;
 static const char *name = "t1", *group = "orders", *zone = "a", *key = "";
 static int port = 5500, slots = 5, max_conns = 35, next_announce;
+static int record = -1;
 static int64_t lag_us = 50000, service_us = 2000, connect_us = 12000;
 static char *seen[OPS];
 static size_t seen_count;
@@ -843,6 +844,8 @@
     }
   if (n <= 0 || c->role == ANNOUNCER)
     return;
+  if (record >= 0 && write (record, buf, (size_t)n) != n)
+    exit (4);
   c->in = realloc (c->in, c->in_len + (size_t)n + 1);
   memcpy (c->in + c->in_len, buf, (size_t)n);
   c->in_len += (size_t)n;
@@ -948,14 +951,21 @@
 int
 main (int argc, char **argv)
 {
-  static const struct option options[]
-      = { { "name", 1, 0, 'n' },       { "group", 1, 0, 'g' },
-          { "zone", 1, 0, 'z' },       { "port", 1, 0, 'p' },
-          { "slots", 1, 0, 's' },      { "connections", 1, 0, 'c' },
-          { "lag-ms", 1, 0, 'l' },     { "service-us", 1, 0, 'u' },
-          { "connect-ms", 1, 0, 'k' }, { "primary", 0, 0, 'P' },
-          { "peer", 1, 0, 'f' },       { "announce", 1, 0, 'a' },
-          { "key", 1, 0, 'K' },        { 0, 0, 0, 0 } };
+  static const struct option options[] = { { "name", 1, 0, 'n' },
+                                           { "group", 1, 0, 'g' },
+                                           { "zone", 1, 0, 'z' },
+                                           { "port", 1, 0, 'p' },
+                                           { "slots", 1, 0, 's' },
+                                           { "connections", 1, 0, 'c' },
+                                           { "lag-ms", 1, 0, 'l' },
+                                           { "service-us", 1, 0, 'u' },
+                                           { "connect-ms", 1, 0, 'k' },
+                                           { "primary", 0, 0, 'P' },
+                                           { "peer", 1, 0, 'f' },
+                                           { "announce", 1, 0, 'a' },
+                                           { "record", 1, 0, 'R' },
+                                           { "key", 1, 0, 'K' },
+                                           { 0, 0, 0, 0 } };
   int o;
   while ((o = getopt_long (argc, argv, "", options, NULL)) != -1)
     switch (o)
@@ -969,6 +979,9 @@
       case 'z':
         zone = optarg;
         break;
+      case 'R':
+        record = open (optarg, O_WRONLY | O_CREAT | O_APPEND, 0600);
+        break;
       case 'K':
         key = optarg;
         break;
--- a/tests/unit/decoders.c
+++ b/tests/unit/decoders.c
@@ -134,7 +134,7 @@
   assert_null (cfs_conf_authenticate (c, "k2.secret"));
   assert_null (cfs_conf_authenticate (c, "k1"));
   assert_null (cfs_conf_authenticate (c, NULL));
-  cfs_conf_unref (c);
+  cfs_conf_free (c);
 }
 
 static void
@@ -239,7 +239,7 @@
       s = cfs_settings_parse (buffer, "f", NULL);
       cfs_settings_free (s);
       mutate (&seed, conf_text, strlen (conf_text), buffer);
-      cfs_conf_unref (cfs_conf_parse (buffer, 1, NULL));
+      cfs_conf_free (cfs_conf_parse (buffer, 1, NULL));
       free (cfs_conf_patch (conf_text, buffer, NULL));
       mutate (&seed, token_text, strlen (token_text), buffer);
       cfs_token_read (buffer, key, &back);
