--- a/tests/process/failures.sh
+++ b/tests/process/failures.sh
@@ -64,6 +64,31 @@
   wait_for 10 host_ready "$l" || fail "$l did not come back"
 esac
 
+case ${1:-all} in all | gatekill)
+  g=$(gate_of orders)
+  load gate-killed 5
+  sleep 1
+  kill -9 "${PID[$g]}"
+  wait "${PID[$g]}" 2> /dev/null
+  judge gate-killed
+  fleet_start "$g"
+  wait_for 10 host_ready "$g" || fail "$g did not come back"
+esac
+
+case ${1:-all} in all | rate)
+  # Four times the rate through both hosts: no more than burst + rate * t.
+  "$BIN" team set small --rate 50 --burst 20 > /dev/null || fail "team"
+  SMALL=$("$BIN" key create small k9 | sed -n 's/^key //p')
+  from=$(date +%s%N)
+  COLTSFOOTSTAGE_KEY=$SMALL "$BIN" load -u "${HTTP[e1]}" -u "${HTTP[e2]}" \
+    -r 200 -t 4 -w 0 > "$RUN/rate.load" 2>&1
+  ms=$((($(date +%s%N) - from) / 1000000))
+  ran=$(sed -n 's/^sent [0-9]*, done \([0-9]*\).*/\1/p' "$RUN/rate.load")
+  [ "$ran" -le $((20 + 50 * ms / 1000)) ] || fail "$ran ran in $ms ms"
+  [ "$ran" -ge $((50 * ms / 2000)) ] || fail "only $ran ran in $ms ms"
+  echo "rate: $ran ran in $ms ms, allowed $((20 + 50 * ms / 1000))"
+esac
+
 case ${1:-all} in all | disk)
   l=$(leader_name)
   v=$("$BIN" show 2>&1 > /dev/null)
--- a/tests/unit/limit_random.c
+++ b/tests/unit/limit_random.c
@@ -35,6 +35,8 @@
         wl_kill (w, host);
       else if (cfs_random (&w->seed) % 20 == 0 && w->alive[1])
         wl_kill (w, w->limiter);
+      else if (cfs_random (&w->seed) % 10 == 0)
+        wl_cut (w);
       else
         wl_start (w, host);
       wl_start (w, 1);
@@ -60,11 +62,69 @@
   assert_int_equal (seeds_failed (run_seed), 0);
 }
 
+/* Counts what admission lets through and keeps the last ask. */
+struct counted
+{
+  unsigned admitted;
+  uint64_t ask;
+};
+
+static void
+keep_ask (void *ctx, const char *team, uint64_t id, uint32_t count)
+{
+  (void)team;
+  (void)count;
+  ((struct counted *)ctx)->ask = id;
+}
+
+static void
+count_admitted (void *ctx, struct cfs_request *r)
+{
+  (void)r;
+  ((struct counted *)ctx)->admitted++;
+}
+
+static void
+ignore_refused (void *ctx, struct cfs_request *r, enum cfs_code code)
+{
+  (void)ctx;
+  (void)r;
+  (void)code;
+}
+
+static void
+a_doubled_or_late_grant_is_not_spent (void **state)
+{
+  static const struct cfs_admit_ops ops
+      = { keep_ask, count_admitted, ignore_refused };
+  struct counted c = { 0, 0 };
+  struct cfs_request r[4] = { { .team = "a", .deadline = CFS_NEVER } };
+  struct cfs_admit a;
+  uint64_t first;
+
+  (void)state;
+  cfs_admit_init (&a, &ops, &c);
+  for (int i = 0; i < 4; i++)
+    {
+      r[i] = r[0];
+      cfs_admit_submit (&a, &r[i], 10, 10, 0);
+    }
+  first = c.ask;
+  cfs_admit_granted (&a, "a", first, 1, 0, 1000);
+  assert_int_equal (c.admitted, 1);
+  cfs_admit_granted (&a, "a", first, 1, 0, 2000);
+  assert_int_equal (c.admitted, 1);
+  cfs_admit_granted (&a, "a", c.ask, 1, 0, 1000 + GRANT_LIFE_US);
+  assert_int_equal (c.admitted, 1);
+  cfs_admit_end (&a);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (never_more_than_burst_and_rate) };
+      = { cmocka_unit_test (never_more_than_burst_and_rate),
+          cmocka_unit_test (a_doubled_or_late_grant_is_not_spent) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/tests/unit/scenarios.c
+++ b/tests/unit/scenarios.c
@@ -145,6 +145,9 @@
     w->hosts[i].frozen = false;
   else if (strcmp (c, "host-cut") == 0)
     w->hosts[i].cut_control = true;
+  else if (strcmp (c, "ack-primary") == 0)
+    for (unsigned h = 0; h < WG_HOSTS; h++)
+      cfs_gate_configure (w->hosts[h].gate, WG_INSTANCES, true);
   else if (strcmp (c, "heal") == 0)
     wg_heal (w);
   else if (strcmp (c, "service") == 0)
--- a/tests/world/limit.c
+++ b/tests/world/limit.c
@@ -113,6 +113,7 @@
   w->delay_us = 500;
   w->jitter_us = 500;
   w->epoch = 1;
+  w->serve_until = CFS_NEVER;
   cfs_bucket_init (&w->bucket, rate, burst, true, 0);
   for (unsigned i = 0; i < WL_HOSTS; i++)
     wl_start (w, i);
@@ -132,6 +133,15 @@
     w->take_over_at = w->now + LEASE_WAIT_US + HEARTBEAT_US;
 }
 
+void
+wl_cut (struct world_limit *w)
+{
+  if (w->take_over_at)
+    return;
+  w->serve_until = w->now + LEASE_US;
+  w->take_over_at = w->now + LEASE_WAIT_US;
+}
+
 void
 wl_end (struct world_limit *w)
 {
@@ -169,7 +179,7 @@
                            m->retry_us, w->now);
       return;
     }
-  if (!w->alive[w->limiter] || m->epoch != w->epoch)
+  if (!w->alive[w->limiter] || m->epoch != w->epoch || w->now > w->serve_until)
     return;
   out.grant = true;
   out.count = cfs_bucket_take (&w->bucket, m->count, w->now, &out.retry_us);
@@ -182,8 +192,10 @@
   if (!w->take_over_at || w->now < w->take_over_at)
     return;
   w->take_over_at = 0;
-  while (!w->alive[w->limiter])
+  w->serve_until = CFS_NEVER;
+  do
     w->limiter = (w->limiter + 1) % WL_HOSTS;
+  while (!w->alive[w->limiter]);
   w->epoch++;
   cfs_bucket_init (&w->bucket, w->rate, w->burst, false, w->now);
   for (unsigned i = 0; i < WL_HOSTS; i++)
--- a/tests/world/limit.h
+++ b/tests/world/limit.h
@@ -40,7 +40,7 @@
   struct cfs_bucket bucket;
   unsigned limiter;
   uint64_t epoch;
-  int64_t take_over_at;
+  int64_t take_over_at, serve_until;
   struct wl_message messages[WL_MESSAGES];
   size_t message_count;
   int loss_percent, duplicate_percent;
@@ -67,6 +67,12 @@
 /** wl_kill() - a host dies; a limiter on it moves after its lease */
 void wl_kill (struct world_limit *w, unsigned host);
 
+/**
+ * wl_cut() - the limiter's host loses the control group: it grants until its
+ * lease ends, and another takes over when the leader may move the lease
+ */
+void wl_cut (struct world_limit *w);
+
 /** wl_start() - a host starts anew */
 void wl_start (struct world_limit *w, unsigned host);
 
