--- a/tests/process/service.sh
+++ b/tests/process/service.sh
@@ -82,6 +82,21 @@
 ask POST e1 $S -H "$A" -d "$READ"; expect "others are served beside half a request" '"outcome":"done"'
 exec 9>&-
 
+exec 9<> /dev/tcp/127.0.0.1/$((PORT_BASE + 4))
+for i in $(seq 300); do printf 'GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n' >&9; done
+ask POST e1 $S -H "$A" -d "$READ"; expect "others are served beside a caller that reads nothing" '"outcome":"done"'
+exec 9>&-
+
+# TLS towards callers, when the settings name a certificate.
+openssl req -x509 -newkey rsa:2048 -nodes -days 2 -subj /CN=e3 \
+  -keyout "$RUN/key.pem" -out "$RUN/cert.pem" 2> /dev/null
+fleet_settings e3 c 6
+sed -i "s|\"target\":|\"tls\": {\"certificate_file\": \"$RUN/cert.pem\", \"key_file\": \"$RUN/key.pem\"}, \"target\":|" "$RUN/e3.json"
+HTTP[e3]=https://127.0.0.1:$((PORT_BASE + 6))
+fleet_start e3
+wait_for 10 curl -skf "${HTTP[e3]}/readyz" || fail "e3 is not ready"
+ask POST e3 $S -k -H "$A" -d "$READ"; expect "TLS" '"outcome":"done"'
+
 # Two operators race from the same version; a resend gets the first answer.
 v=$("$BIN" show 2>&1 > /dev/null | sed 's/version //')
 patch() { call PATCH e1 /v1/config -H "Authorization: Bearer $OPERATOR_KEY" -H "If-Match: \"$v\"" -H "Request-Id: $1" -H "Operator: $1" -d "{\"teams\":{\"$1\":{\"rate\":1,\"burst\":1}}}"; }
@@ -92,6 +107,12 @@
 grep -q stale "$RUN/anna" "$RUN/ben" || fail "no stale answer"
 patch anna > "$RUN/body"; diff "$RUN/body" "$RUN/anna" || fail "a resend got another answer"
 echo "ok race of operators"
+for c in c1 c2 c3; do kill -9 "${PID[$c]}"; wait "${PID[$c]}" 2> /dev/null; done
+for c in c1 c2 c3; do fleet_start $c; done
+wait_for 15 host_ready c1 || fail "c1 did not come back"
+wait_for 15 host_ready e1 || fail "e1 has no lease after the restart"
+patch anna > "$RUN/body"; diff "$RUN/body" "$RUN/anna" || fail "a resend after the restart of all got another answer"
+echo "ok resend after the restart of all control hosts"
 
 # A withdrawn key stops on an open connection, in a transaction and on a
 # host without control.  No key shows up anywhere.
