Results of libpq in a file of their own

Cause: pg.c held connections, pipelines and JSON. Change: pg_result.c. Conclusion: behaviour unchanged.

--- a/src/connection/pg.c
+++ b/src/connection/pg.c
@@ -9,7 +9,8 @@
  */
 #include "pg.h"
 
-#include <cjson/cJSON.h>
+#include "pg_result.h"
+
 #include <libpq-fe.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -392,20 +393,12 @@
   cfs_pg_probe (pg, inst);
 }
 
-static uint64_t
-number_at (const PGresult *res, int column)
-{
-  if (PQntuples (res) != 1 || column >= PQnfields (res))
-    return 0;
-  return strtoull (PQgetvalue (res, 0, column), NULL, 10);
-}
-
 static void
 take_position (struct link *l, const PGresult *res)
 {
-  l->result.term = number_at (res, 0);
-  l->result.position = number_at (res, 1);
-  l->start = number_at (res, 2);
+  l->result.term = pg_result_number (res, 0);
+  l->result.position = pg_result_number (res, 1);
+  l->start = pg_result_number (res, 2);
   l->leads = PQntuples (res) == 1 && PQnfields (res) > 3
              && PQgetvalue (res, 0, 3)[0] == 't';
 }
@@ -414,37 +407,8 @@
 static void
 take_seen (struct link *l, const PGresult *res)
 {
-  l->result.term = number_at (res, 0);
-  l->result.seen = number_at (res, 1);
-}
-
-/* Result of a statement as JSON: columns, rows, affected. */
-static char *
-make_body (const PGresult *res)
-{
-  cJSON *doc = cJSON_CreateObject ();
-  cJSON *columns = cJSON_AddArrayToObject (doc, "columns");
-  cJSON *rows = cJSON_AddArrayToObject (doc, "rows");
-  char *text;
-
-  for (int c = 0; c < PQnfields (res); c++)
-    cJSON_AddItemToArray (columns, cJSON_CreateString (PQfname (res, c)));
-  for (int r = 0; r < PQntuples (res); r++)
-    {
-      cJSON *row = cJSON_CreateArray ();
-
-      for (int c = 0; c < PQnfields (res); c++)
-        cJSON_AddItemToArray (
-            row, PQgetisnull (res, r, c)
-                     ? cJSON_CreateNull ()
-                     : cJSON_CreateString (PQgetvalue (res, r, c)));
-      cJSON_AddItemToArray (rows, row);
-    }
-  cJSON_AddNumberToObject (doc, "affected",
-                           strtod (PQcmdTuples ((PGresult *)res), NULL));
-  text = cJSON_PrintUnformatted (doc);
-  cJSON_Delete (doc);
-  return text;
+  l->result.term = pg_result_number (res, 0);
+  l->result.seen = pg_result_number (res, 1);
 }
 
 static void
@@ -491,7 +455,7 @@
       else if (step == STEP_STATEMENT)
         {
           free (l->result.body);
-          l->result.body = make_body (res);
+          l->result.body = pg_result_body (res);
         }
       else if (step == STEP_COMMIT
                && strcmp (PQcmdStatus (res), "ROLLBACK") == 0)
@@ -509,19 +473,6 @@
     }
 }
 
-static char *
-error_body (const struct link *l)
-{
-  cJSON *doc = cJSON_CreateObject ();
-  char *text;
-
-  cJSON_AddStringToObject (doc, "sqlstate", l->sqlstate);
-  cJSON_AddStringToObject (doc, "message", l->error);
-  text = cJSON_PrintUnformatted (doc);
-  cJSON_Delete (doc);
-  return text;
-}
-
 /* Hands the result to the gate, which may give the link new work at once. */
 static void
 report (struct link *l, enum cfs_ran ran, bool clean)
@@ -533,7 +484,7 @@
   if (ran == RAN_ERROR && l->error)
     {
       free (out.body);
-      out.body = error_body (l);
+      out.body = pg_error_body (l->sqlstate, l->error);
     }
   memset (&l->result, 0, sizeof l->result);
   free (l->error);
