--- a/Makefile
+++ b/Makefile
@@ -9,10 +9,10 @@
 LIBS := $(shell pkg-config --libs $(PACKAGES)) -lm -lpthread
 ALL_CFLAGS = $(WARN) $(CFLAGS) $(INCLUDES) -MMD -MP
 
-SOURCES := $(wildcard src/*.c src/*/*.c)
+SOURCES := $(wildcard src/*.c src/*/*.c platform/*.c)
 LIB_SOURCES := $(filter-out src/command/main.c,$(SOURCES))
 LIB_OBJECTS := $(LIB_SOURCES:%.c=$(BUILD)/%.o)
-OWN := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] src/*/*.[ch] \
+OWN := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] src/*/*.[ch] platform/*.[ch] \
   tests/*.[ch] tests/*/*.[ch] bench/*.[ch]))
 UNITS := $(patsubst tests/unit/%.c,$(BUILD)/tests/%,$(wildcard tests/unit/*.c))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
@@ -21,7 +21,7 @@
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(ALL_CFLAGS) -c $< -o $@
+	@$(CC) $(ALL_CFLAGS) -c $< -o $@
 
 $(BUILD)/libcore.a: $(LIB_OBJECTS)
 	@rm -f $@
--- a/src/command/host.c
+++ b/src/command/host.c
@@ -4,6 +4,7 @@
 #include "command.h"
 
 #include "../process/control.h"
+#include "../process/core.h"
 #include "../process/log.h"
 #include "../process/node.h"
 #include "../process/settings.h"
@@ -11,10 +12,13 @@
 #include <argp.h>
 #include <sodium.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <zmq.h>
 
 #define SECRET_BYTES 24
+/* Names the settings file when the command line does not. */
+#define SETTINGS_VARIABLE "COLTSFOOTSTAGE_BOOT"
 
 struct host_args
 {
@@ -31,8 +35,13 @@
 
   if (key == 's')
     a->settings = arg;
-  else if (key == ARGP_KEY_END && !a->settings)
-    argp_error (state, "--settings is required");
+  else if (key == ARGP_KEY_END)
+    {
+      if (!a->settings)
+        a->settings = getenv (SETTINGS_VARIABLE);
+      if (!a->settings)
+        argp_error (state, "--settings or " SETTINGS_VARIABLE " is required");
+    }
   else if (key == ARGP_KEY_ARG)
     argp_usage (state);
   else
@@ -81,7 +90,10 @@
   if (!s)
     return EXIT_USAGE;
   cfs_log_open (s->host, CFS_INFO);
-  ok = cfs_node_serve (s, &error);
+  if (s->by_seeds && !cfs_settings_serves_sessions (s))
+    ok = cfs_core_serve (s, &error);
+  else
+    ok = cfs_node_serve (s, &error);
   cfs_settings_free (s);
   return report (ok, error);
 }
--- /dev/null
+++ b/src/connection/edge.c
@@ -0,0 +1,25 @@
+/* Comparison of positions and names of codes, shared by both edges. */
+#include "edge.h"
+
+static const char *const reply_names[REPLY_CODES]
+    = { "ok",           "busy",          "behind",     "not_primary",
+        "wrong_target", "no_connection", "unprepared", "aborted",
+        "failed",       "timeout",       "unknown",    "malformed",
+        "no_database",  "no_key",        "other" };
+
+int
+cfs_position_compare (const struct cfs_position *a,
+                      const struct cfs_position *b)
+{
+  if (a->term != b->term)
+    return a->term < b->term ? -1 : 1;
+  if (a->number != b->number)
+    return a->number < b->number ? -1 : 1;
+  return 0;
+}
+
+const char *
+cfs_reply_name (enum cfs_reply_code code)
+{
+  return (unsigned)code < REPLY_CODES ? reply_names[code] : "other";
+}
--- a/src/connection/http.c
+++ b/src/connection/http.c
@@ -308,6 +308,8 @@
     add_session (c->response, a->session);
   if (a->etag)
     MHD_add_response_header (c->response, "ETag", a->etag);
+  if (a->location)
+    MHD_add_response_header (c->response, "Location", a->location);
   if (a->retry_after)
     {
       g_snprintf (number, sizeof number, "%u", a->retry_after);
--- a/src/connection/http.h
+++ b/src/connection/http.h
@@ -41,6 +41,7 @@
   const char *body;
   const char *session;
   const char *etag;
+  const char *location;
   unsigned retry_after;
 };
 
--- /dev/null
+++ b/src/connection/pool.h
@@ -0,0 +1,143 @@
+/**
+ * DOC: Links to targets: one connection to one instance on behalf of one
+ * team, kept for reuse.
+ *
+ * A link is held by one holder at a time.  It goes back to the pool only
+ * outside a transaction; replies that are still due then are taken by the
+ * pool before anybody else gets the link.  The bound of connections of an
+ * instance holds for all hosts together and is met by its refusals: a host
+ * that is refused, or sees others pressed, gives idle links up sooner.
+ */
+#ifndef CFS_POOL_H
+#define CFS_POOL_H
+
+#include "../process/fleet.h"
+#include "edge.h"
+
+#include <glib.h>
+
+struct cfs_pool;
+struct cfs_link;
+
+/**
+ * struct cfs_link_events - what a link tells its holder
+ * @opened: the connection is up, or was refused; a refused link is gone
+ * @replied: the oldest statement without a reply ended
+ * @lost: the link is gone
+ */
+struct cfs_link_events
+{
+  void (*opened) (void *holder, const struct cfs_reply *reply);
+  void (*replied) (void *holder, const struct cfs_reply *reply);
+  void (*lost) (void *holder, const char *reason);
+};
+
+/**
+ * cfs_pool_new() - without links
+ * @edge: makes connections, must outlive the pool
+ * @fleet: targets, configuration and zones, must outlive the pool
+ * @clock: gives the time at events
+ *
+ * Return: freed by cfs_pool_free().
+ */
+struct cfs_pool *cfs_pool_new (const struct cfs_target_edge *edge,
+                               const struct cfs_fleet *fleet,
+                               int64_t (*clock) (void));
+
+/** cfs_pool_now() - the time by the pool's clock */
+int64_t cfs_pool_now (const struct cfs_pool *pool);
+
+/** cfs_pool_free() - closes all links */
+void cfs_pool_free (struct cfs_pool *pool);
+
+/** cfs_pool_tick() - closes links that idle too long or lead nowhere */
+void cfs_pool_tick (struct cfs_pool *pool, int64_t now);
+
+/**
+ * cfs_pool_take() - a link for a holder
+ * @target: name of the instance
+ * @team: team on whose behalf statements run
+ * @now: time
+ * @opening: set when the connection is not up yet
+ *
+ * Return: the link, or NULL when there is no room for one now.
+ */
+struct cfs_link *cfs_pool_take (struct cfs_pool *pool, const char *target,
+                                const char *team,
+                                const struct cfs_link_events *events,
+                                void *holder, int64_t now, bool *opening);
+
+/** cfs_pool_give() - takes a link back; closes it when it cannot be reused */
+void cfs_pool_give (struct cfs_link *link, int64_t now);
+
+/** cfs_pool_drop() - closes a link at once */
+void cfs_pool_drop (struct cfs_link *link);
+
+/**
+ * cfs_pool_choose() - the instance that is likely to answer first
+ * @service: name of the group
+ * @need: position that its log must hold
+ * @avoid: names of instances that were tried, @avoid_count of them
+ *
+ * Return: the target, or NULL when none may be asked now.
+ */
+const struct cfs_target *cfs_pool_choose (struct cfs_pool *pool,
+                                          const char *service,
+                                          const struct cfs_position *need,
+                                          const char (*avoid)[CFS_NAME_MAX],
+                                          size_t avoid_count, int64_t now);
+
+/** cfs_pool_primary() - the instance that leads, or NULL when unknown */
+const struct cfs_target *cfs_pool_primary (struct cfs_pool *pool,
+                                           const char *service, int64_t now);
+
+/** cfs_pool_note_not_primary() - an instance said that it does not lead */
+void cfs_pool_note_not_primary (struct cfs_pool *pool, const char *target,
+                                int64_t now);
+
+/** cfs_pool_note_behind() - an instance's log lacks a position */
+void cfs_pool_note_behind (struct cfs_pool *pool, const char *target,
+                           const struct cfs_position *need, int64_t now);
+
+/** cfs_pool_suspects() - calls @each for targets that cannot be reached */
+void cfs_pool_suspects (const struct cfs_pool *pool, int64_t now,
+                        void (*each) (void *ctx, const char *target),
+                        void *ctx);
+
+/** cfs_pool_any_team() - a team with an idle link to an instance, or NULL */
+const char *cfs_pool_any_team (const struct cfs_pool *pool,
+                               const char *target);
+
+/** cfs_link_send() - hands statements over; each gets one reply */
+void cfs_link_send (struct cfs_link *link,
+                    const struct cfs_statement *statements, size_t count,
+                    int64_t now);
+
+/** cfs_link_target() - name of the instance */
+const char *cfs_link_target (const struct cfs_link *link);
+
+/** cfs_link_due() - statements without a reply */
+unsigned cfs_link_due (const struct cfs_link *link);
+
+/**
+ * cfs_link_timed() - tells how long a read or write took
+ *
+ * The choice of instances builds on it.
+ */
+void cfs_link_timed (struct cfs_link *link, int64_t took_us);
+
+/**
+ * cfs_link_values() - values that are set on the link
+ *
+ * The table belongs to the link and is changed by whoever holds it, together
+ * with the statements that make it true.
+ */
+GHashTable *cfs_link_values (struct cfs_link *link);
+
+/** cfs_link_prepared() - names that are prepared on the link; as above */
+GHashTable *cfs_link_prepared (struct cfs_link *link);
+
+/** cfs_pool_metrics() - appends counters */
+void cfs_pool_metrics (const struct cfs_pool *pool, GString *out);
+
+#endif
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -19,6 +19,8 @@
 #define CALL_RETRY_US (700 * CFS_US_PER_MS)
 #define CALL_REFUSED_US (50 * CFS_US_PER_MS)
 #define HTTP_UNAVAILABLE 503
+/* Control hosts that are kept in mind: members and seeds. */
+#define PEERS_MAX 24
 
 /* A call on its way to the leader. */
 struct call
@@ -40,11 +42,15 @@
   int64_t sent_at;
   int64_t next_at;
   bool answered;
+  struct cfs_peer peers[PEERS_MAX];
+  size_t peer_count;
   size_t leader;
+  uint64_t members_hash;
   uint64_t version;
   uint64_t directory;
   char *document;
   Cfs__Peer *report;
+  Cfs__Peer *uses;
   Cfs__Peer **news;
   size_t news_count;
   size_t news_cap;
@@ -57,15 +63,33 @@
 try_next_host (struct cfs_agent *a)
 {
   a->leader++;
-  if (a->leader >= a->settings->control_count)
+  if (a->leader >= a->peer_count)
     a->leader = 0;
 }
 
+/* Control hosts found by seeds are named by their IP number. */
+static void
+add_peer (struct cfs_agent *a, const char *name)
+{
+  struct cfs_peer *p;
+
+  for (size_t i = 0; i < a->peer_count; i++)
+    if (strcmp (a->peers[i].host, name) == 0)
+      return;
+  if (!a->settings->by_seeds || a->peer_count == PEERS_MAX)
+    return;
+  p = &a->peers[a->peer_count++];
+  cfs_copy (p->host, sizeof p->host, name);
+  cfs_copy (p->address, sizeof p->address, name);
+  p->port = a->settings->control_port;
+}
+
 static void
 try_host (struct cfs_agent *a, const char *name)
 {
-  for (size_t i = 0; i < a->settings->control_count; i++)
-    if (strcmp (a->settings->control[i].host, name) == 0)
+  add_peer (a, name);
+  for (size_t i = 0; i < a->peer_count; i++)
+    if (strcmp (a->peers[i].host, name) == 0)
       {
         a->leader = i;
         return;
@@ -73,10 +97,28 @@
   try_next_host (a);
 }
 
+/* The members replace what is known besides the seeds. */
+static void
+take_members (struct cfs_agent *a, const Cfs__HeartbeatReply *r)
+{
+  char leader[CFS_NAME_MAX];
+
+  if (r->n_members == 0 || !a->settings->by_seeds)
+    return;
+  cfs_copy (leader, sizeof leader, a->peers[a->leader].host);
+  a->peer_count = 0;
+  for (size_t i = 0; i < r->n_members; i++)
+    add_peer (a, r->members[i]);
+  for (size_t i = 0; i < a->settings->control_count; i++)
+    add_peer (a, a->settings->control[i].host);
+  a->members_hash = r->members_hash;
+  try_host (a, leader);
+}
+
 static int
 send_to_leader (struct cfs_agent *a, const Cfs__Peer *msg)
 {
-  const struct cfs_peer *p = &a->settings->control[a->leader];
+  const struct cfs_peer *p = &a->peers[a->leader];
 
   return cfs_net_send (a->net, p->address, p->port, msg);
 }
@@ -89,6 +131,12 @@
              || a->report->heartbeat->n_released);
 }
 
+static void
+free_peer (Cfs__Peer *peer)
+{
+  cfs__peer__free_unpacked (peer, NULL);
+}
+
 static void
 free_news (struct cfs_agent *a)
 {
@@ -139,7 +187,15 @@
       h.n_released = r->n_released;
       h.reports = r->reports;
       h.n_reports = r->n_reports;
+      h.suspects = r->suspects;
+      h.n_suspects = r->n_suspects;
     }
+  if (a->uses)
+    {
+      h.uses = a->uses->heartbeat->uses;
+      h.n_uses = a->uses->heartbeat->n_uses;
+    }
+  h.members_hash = a->members_hash;
   h.instances = collect_news (a, &h.n_instances);
   out.body_case = CFS__PEER__BODY_HEARTBEAT;
   out.heartbeat = &h;
@@ -147,7 +203,10 @@
   a->answered = false;
   a->next_at = now + (is_urgent (a) ? HEARTBEAT_URGENT_US : HEARTBEAT_US);
   if (send_to_leader (a, &out) == CFS_OK)
-    free_news (a);
+    {
+      free_news (a);
+      g_clear_pointer (&a->uses, free_peer);
+    }
   else
     a->next_at = now + HEARTBEAT_URGENT_US;
   free (h.instances);
@@ -184,6 +243,16 @@
   return a->version == r->version;
 }
 
+/* Where sessions are served the lease covers the configuration, which a
+   reply of the leader confirms; else it covers gates and limiters. */
+static int64_t
+lease_end (const struct cfs_agent *a, const Cfs__HeartbeatReply *r)
+{
+  if (a->settings->by_seeds)
+    return a->sent_at + a->settings->document_lease_us;
+  return r->granted ? a->sent_at + LEASE_US : 0;
+}
+
 static void
 take_reply (struct cfs_agent *a, Cfs__HeartbeatReply *r, int64_t now)
 {
@@ -207,7 +276,8 @@
     return;
   if (r->directory > a->directory)
     a->directory = r->directory;
-  r->lease_until_us = r->granted ? a->sent_at + LEASE_US : 0;
+  take_members (a, r);
+  r->lease_until_us = lease_end (a, r);
   r->document = a->version != had ? a->document : (char *)"";
   a->ops->renewed (a->ctx, r);
   r->document = sent;
@@ -271,6 +341,9 @@
   a->settings = settings;
   a->document = cfs_strdup ("{}");
   a->boot = boot;
+  a->peer_count = settings->control_count;
+  memcpy (a->peers, settings->control,
+          settings->control_count * sizeof a->peers[0]);
   a->net = cfs_net_new (&setup, loop);
   return a;
 }
@@ -285,6 +358,7 @@
   free_news (a);
   if (a->report)
     cfs__peer__free_unpacked (a->report, NULL);
+  g_clear_pointer (&a->uses, free_peer);
   cfs_net_free (a->net);
   free (a->calls);
   free (a->news);
@@ -301,6 +375,12 @@
       a->news[a->news_count++] = report;
       return;
     }
+  if (report->heartbeat->n_uses)
+    {
+      g_clear_pointer (&a->uses, free_peer);
+      a->uses = report;
+      return;
+    }
   if (a->report)
     cfs__peer__free_unpacked (a->report, NULL);
   a->report = report;
--- a/src/process/agent.h
+++ b/src/process/agent.h
@@ -46,7 +46,8 @@
 /**
  * cfs_agent_report() - what the next heartbeats say besides the host itself
  * @agent: agent
- * @report: message that passes to the agent; its instances go out once
+ * @report: message that passes to the agent; one with instances or uses of
+ * teams goes out once, another one with each heartbeat
  */
 void cfs_agent_report (struct cfs_agent *agent, Cfs__Peer *report);
 
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -4,15 +4,10 @@
  * first answers, so a patch that was sent again, to whichever leader, gets
  * the same answer.
  */
-#include "control.h"
+#include "control_int.h"
 
 #include "../version/schema.h"
-#include "disk.h"
-#include "leader.h"
 #include "log.h"
-#include "net.h"
-#include "raft.h"
-#include "state.h"
 
 #include <inttypes.h>
 #include <sodium.h>
@@ -25,31 +20,6 @@
 #define HTTP_UNAVAILABLE 503
 #define AUDIT_ROWS_MAX 500
 
-/* A patch whose answer is not decided yet. */
-struct pending
-{
-  struct cfs_origin origin;
-  uint64_t id;
-  char *request_id;
-  int64_t since;
-};
-
-struct cfs_control
-{
-  const struct cfs_settings *settings;
-  struct cfs_loop *loop;
-  struct cfs_net *net;
-  struct cfs_disk *disk;
-  struct cfs_raft *raft;
-  struct cfs_state state;
-  struct cfs_leader *leader;
-  struct pending *pending;
-  size_t count;
-  size_t cap;
-  uint64_t audited;
-  enum cfs_raft_role logged_role;
-};
-
 static int
 save_vote (void *ctx, uint64_t term, uint64_t vote)
 {
@@ -101,11 +71,12 @@
   const struct cfs_peer *p = find_peer (c, host);
   Cfs__Peer out = CFS__PEER__INIT;
 
-  if (!p)
-    return;
   out.body_case = CFS__PEER__BODY_RAFT;
   out.raft = (Cfs__RaftMsg *)msg;
-  cfs_net_send (c->net, p->address, p->port, &out);
+  if (p)
+    cfs_net_send (c->net, p->address, p->port, &out);
+  else if (c->settings->by_seeds)
+    cfs_net_send (c->net, host, c->settings->control_port, &out);
 }
 
 static void
@@ -174,6 +145,19 @@
   return index;
 }
 
+uint64_t
+control_propose (struct cfs_control *c, const Cfs__Command *cmd)
+{
+  size_t len = cfs__command__get_packed_size (cmd);
+  uint8_t *data = cfs_alloc (len);
+  uint64_t index;
+
+  cfs__command__pack (cmd, data);
+  index = propose (c, data, len);
+  free (data);
+  return index;
+}
+
 static const struct cfs_raft_ops raft_ops
     = { save_vote, append, truncate_log, save_snapshot,
         send_raft, apply,  restore,      image };
@@ -267,9 +251,6 @@
   p->since = now;
   if (!cfs_state_result (&c->state, call->request_id))
     {
-      uint8_t *data;
-      size_t len;
-
       patch.base_version = call->base_version;
       patch.patch = call->body;
       patch.who = call->who;
@@ -277,11 +258,7 @@
       patch.when_ms = cfs_wall_ms ();
       cmd.body_case = CFS__COMMAND__BODY_PATCH;
       cmd.patch = &patch;
-      len = cfs__command__get_packed_size (&cmd);
-      data = cfs_alloc (len);
-      cfs__command__pack (&cmd, data);
-      propose (c, data, len);
-      free (data);
+      control_propose (c, &cmd);
     }
   settle_pending (c, true, now);
 }
@@ -433,7 +410,10 @@
   const Cfs__HeartbeatReply *reply = NULL;
 
   if (cfs_raft_ready (c->raft, now))
-    reply = cfs_leader_heartbeat (c->leader, in, now);
+    {
+      cfs_leader_set_members (c->leader, cfs_raft_members (c->raft));
+      reply = cfs_leader_heartbeat (c->leader, in, now);
+    }
   denied.seq = in->seq;
   denied.leader = (char *)cfs_raft_leader (c->raft);
   out.body_case = CFS__PEER__BODY_REPLY;
@@ -501,6 +481,18 @@
   return c->net != NULL;
 }
 
+/* A member of the first start prepares its empty folder by itself. */
+static bool
+prepare_folder (const struct cfs_settings *s, GError **error)
+{
+  if (!s->by_seeds || !s->first_start || cfs_disk_exists (s->data_folder))
+    return true;
+  for (size_t i = 0; i < s->control_count; i++)
+    if (strcmp (s->control[i].host, s->host) == 0)
+      return cfs_control_format (s, error);
+  return true;
+}
+
 struct cfs_control *
 cfs_control_new (const struct cfs_settings *settings, void *zmq,
                  struct cfs_loop *loop, GError **error)
@@ -514,7 +506,9 @@
   cfs_state_init (&c->state);
   randombytes_buf (&fresh, sizeof fresh);
   randombytes_buf (&boot.seed, sizeof boot.seed);
-  c->disk = cfs_disk_open (settings->data_folder, &boot, fresh | 2, error);
+  control_fleet_init (c);
+  if (prepare_folder (settings, error))
+    c->disk = cfs_disk_open (settings->data_folder, &boot, fresh | 2, error);
   if (!c->disk || !open_net (c, zmq, error))
     {
       cfs_control_free (c);
@@ -536,6 +530,7 @@
 {
   if (!c)
     return;
+  control_fleet_end (c);
   cfs_raft_free (c->raft);
   cfs_leader_free (c->leader);
   cfs_state_end (&c->state);
@@ -570,6 +565,7 @@
   ready = cfs_raft_ready (c->raft, now);
   cfs_leader_tick (c->leader, ready, cfs_raft_commit (c->raft), now);
   settle_pending (c, ready, now);
+  control_fleet_tick (c, ready, now);
   log_role (c);
 }
 
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -5,8 +5,10 @@
 #ifndef CFS_CONTROL_H
 #define CFS_CONTROL_H
 
+#include "fleet.h"
 #include "loop.h"
 #include "settings.h"
+#include "state.h"
 
 #include <glib.h>
 
@@ -62,4 +64,58 @@
  */
 bool cfs_control_format (const struct cfs_settings *settings, GError **error);
 
+/**
+ * cfs_control_serve_documents() - configuration by whole documents
+ * @edge: decodes them, must outlive the control host
+ */
+void cfs_control_serve_documents (struct cfs_control *control,
+                                  const struct cfs_document_edge *edge);
+
+/** cfs_control_leads() - whether this host may answer for the group now */
+bool cfs_control_leads (const struct cfs_control *control, int64_t now);
+
+/** cfs_control_leader() - name of the leader as far as known, or "" */
+const char *cfs_control_leader (const struct cfs_control *control);
+
+/** cfs_control_state() - replicated state; current only while it leads */
+const struct cfs_state *cfs_control_state (const struct cfs_control *control);
+
+/** cfs_control_metrics() - appends counters of a control host */
+void cfs_control_metrics (const struct cfs_control *control, GString *out,
+                          int64_t now);
+
+/**
+ * cfs_control_put_document() - makes a checked document the configuration
+ * @number: its number; one that is not higher changes nothing
+ * @ended: called once when it is committed, or when that is not known
+ *
+ * Return: CFS_OK and @ended follows; CFS_NOT_LEADER or CFS_IO without it.
+ */
+int cfs_control_put_document (struct cfs_control *control, uint64_t number,
+                              const char *body,
+                              void (*ended) (void *tag, bool done), void *tag,
+                              int64_t now);
+
+/**
+ * cfs_control_report() - takes what a target says of itself
+ * @report: all fields but @changed
+ * @ended: as above; called before the return when nothing changes
+ *
+ * Return: CFS_OK and @ended follows; CFS_BAD when a later incarnation is
+ * known; CFS_NOT_LEADER or CFS_IO.
+ */
+int cfs_control_report (struct cfs_control *control,
+                        const struct cfs_target *report,
+                        void (*ended) (void *tag, bool done), void *tag,
+                        int64_t now);
+
+/**
+ * cfs_control_leave() - a target says that it is gone
+ *
+ * Return: as of cfs_control_report().
+ */
+int cfs_control_leave (struct cfs_control *control, const char *id,
+                       void (*ended) (void *tag, bool done), void *tag,
+                       int64_t now);
+
 #endif
--- /dev/null
+++ b/src/process/control_int.h
@@ -0,0 +1,83 @@
+/**
+ * DOC: Private parts of a control host, shared by control.c and
+ * control_fleet.c.
+ */
+#ifndef CFS_CONTROL_INT_H
+#define CFS_CONTROL_INT_H
+
+#include "control.h"
+#include "disk.h"
+#include "leader.h"
+#include "net.h"
+#include "raft.h"
+#include "state.h"
+
+/** struct order - a change in the log that somebody waits for */
+struct order
+{
+  uint64_t index;
+  uint64_t term;
+  int64_t since;
+  void (*ended) (void *tag, bool done);
+  void *tag;
+};
+
+/** struct beat - when a target was last heard; not replicated */
+struct beat
+{
+  char id[CFS_NAME_MAX];
+  uint64_t born;
+  uint64_t sequence;
+  int64_t heard_at;
+};
+
+/** struct control_fleet - documents and targets at the control leader */
+struct control_fleet
+{
+  struct order *orders;
+  size_t count;
+  size_t cap;
+  struct cfs_table beats;
+  bool leading;
+  int64_t led_since;
+};
+
+/* A patch whose answer is not decided yet. */
+struct pending
+{
+  struct cfs_origin origin;
+  uint64_t id;
+  char *request_id;
+  int64_t since;
+};
+
+struct cfs_control
+{
+  const struct cfs_settings *settings;
+  struct cfs_loop *loop;
+  struct cfs_net *net;
+  struct cfs_disk *disk;
+  struct cfs_raft *raft;
+  struct cfs_state state;
+  struct cfs_leader *leader;
+  struct pending *pending;
+  size_t count;
+  size_t cap;
+  uint64_t audited;
+  enum cfs_raft_role logged_role;
+  struct control_fleet fleet;
+};
+
+/** control_propose() - appends a command; returns its index or 0 */
+uint64_t control_propose (struct cfs_control *control, const Cfs__Command *c);
+
+/** control_fleet_init() - nothing is heard yet */
+void control_fleet_init (struct cfs_control *control);
+
+/** control_fleet_end() - frees what is kept */
+void control_fleet_end (struct cfs_control *control);
+
+/** control_fleet_tick() - ends orders and gives up silent targets */
+void control_fleet_tick (struct cfs_control *control, bool ready, int64_t now);
+
+#endif
--- /dev/null
+++ b/src/process/core.c
@@ -0,0 +1,96 @@
+/*
+ * The replicated log, the leader's decisions and the HTTP side for operators
+ * and targets, in one loop.
+ */
+#include "core.h"
+
+#include "../../platform/desk.h"
+#include "log.h"
+#include "net.h"
+
+#include <apr_general.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <zmq.h>
+
+#define PART "core"
+#define TICK_US (5 * CFS_US_PER_MS)
+
+struct core
+{
+  void *zmq;
+  apr_pool_t *pool;
+  struct cfs_loop *loop;
+  struct cfs_control *control;
+  struct desk *desk;
+};
+
+static volatile bool stop_requested;
+
+static void
+on_signal (int sig)
+{
+  if (sig != SIGHUP)
+    stop_requested = true;
+}
+
+static void
+catch_signals (void)
+{
+  signal (SIGPIPE, SIG_IGN);
+  signal (SIGTERM, on_signal);
+  signal (SIGINT, on_signal);
+  signal (SIGHUP, on_signal);
+}
+
+static bool
+start (struct core *c, const struct cfs_settings *settings, GError **error)
+{
+  apr_initialize ();
+  apr_pool_create (&c->pool, NULL);
+  c->zmq = zmq_ctx_new ();
+  c->loop = cfs_loop_new (c->pool);
+  c->control = cfs_control_new (settings, c->zmq, c->loop, error);
+  if (c->control)
+    c->desk = desk_new (settings, c->control, c->loop, error);
+  return c->desk != NULL;
+}
+
+static void
+end (struct core *c)
+{
+  desk_free (c->desk);
+  cfs_control_free (c->control);
+  zmq_ctx_term (c->zmq);
+  apr_pool_destroy (c->pool);
+  apr_terminate ();
+}
+
+static void
+turn (struct core *c)
+{
+  cfs_control_pump (c->control);
+  desk_pump (c->desk);
+  cfs_loop_poll (c->loop, TICK_US);
+  cfs_control_tick (c->control, cfs_now ());
+}
+
+bool
+cfs_core_serve (const struct cfs_settings *settings, GError **error)
+{
+  struct core c = { NULL };
+  bool ok;
+
+  catch_signals ();
+  ok = start (&c, settings, error);
+  if (ok)
+    {
+      cfs_log (CFS_NOTICE, PART, "starts, control on %s",
+               settings->control_address);
+      while (!stop_requested)
+        turn (&c);
+      cfs_log (CFS_NOTICE, PART, "stops");
+    }
+  end (&c);
+  return ok;
+}
--- a/src/process/disk.c
+++ b/src/process/disk.c
@@ -427,6 +427,16 @@
   return ok || fail (error, folder, VOTE_FILE, "cannot write");
 }
 
+bool
+cfs_disk_exists (const char *folder)
+{
+  int fd = open_in (folder, VOTE_FILE, O_RDONLY);
+
+  if (fd >= 0)
+    close (fd);
+  return fd >= 0;
+}
+
 struct cfs_disk *
 cfs_disk_open (const char *folder, struct cfs_raft_boot *boot,
                uint64_t fresh_id, GError **error)
--- a/src/process/disk.h
+++ b/src/process/disk.h
@@ -30,6 +30,9 @@
 bool cfs_disk_format (const char *folder, uint64_t id,
                       const struct cfs_members *members, GError **error);
 
+/** cfs_disk_exists() - whether a folder holds an identity or a log */
+bool cfs_disk_exists (const char *folder);
+
 /**
  * cfs_disk_open() - reads what is durable
  * @folder: data folder, made when absent
--- /dev/null
+++ b/src/process/fleet.c
@@ -0,0 +1,113 @@
+/*
+ * The lease is extended last, after all else of the same reply is in place,
+ * so that a renewed lease never covers an older configuration.
+ */
+#include "fleet.h"
+
+#include "log.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define PART "fleet"
+
+void
+cfs_fleet_init (struct cfs_fleet *f, const struct cfs_settings *settings,
+                const struct cfs_document_edge *edge)
+{
+  memset (f, 0, sizeof *f);
+  f->settings = settings;
+  f->edge = edge;
+  cfs_table_init (&f->targets, sizeof (struct cfs_target));
+  cfs_table_init (&f->turns, sizeof (struct cfs_turn));
+}
+
+void
+cfs_fleet_end (struct cfs_fleet *f)
+{
+  cfs_catalog_free (f->catalog);
+  cfs_table_end (&f->targets);
+  cfs_table_end (&f->turns);
+}
+
+/* Returns whether the catalog is that of the reply or a later one. */
+static bool
+take_document (struct cfs_fleet *f, const Cfs__HeartbeatReply *r)
+{
+  GError *error = NULL;
+  struct cfs_catalog *next;
+
+  if (f->catalog && f->catalog->version >= r->version)
+    return true;
+  if (!*r->document)
+    return false;
+  next = f->edge->read (r->document, r->version, &error);
+  if (!next)
+    {
+      cfs_log (CFS_ERR, PART, "version %" PRIu64 " cannot be read: %s",
+               r->version, error->message);
+      g_error_free (error);
+      return false;
+    }
+  cfs_catalog_free (f->catalog);
+  f->catalog = next;
+  cfs_log (CFS_NOTICE, PART, "version=%" PRIu64 " is in force here",
+           next->version);
+  return true;
+}
+
+static void
+take_targets (struct cfs_fleet *f, const Cfs__HeartbeatReply *r)
+{
+  for (size_t i = 0; i < r->n_targets; i++)
+    {
+      const Cfs__Target *in = r->targets[i];
+      struct cfs_target *t = cfs_table_add (&f->targets, in->id);
+
+      if (in->changed <= t->changed)
+        continue;
+      cfs_target_load (t, in);
+      cfs_log (CFS_INFO, PART,
+               "target=%s service=%s primary=%d draining=%d gone=%d "
+               "born=%" PRIu64 " index=%" PRIu64,
+               t->id, t->service, t->primary, t->draining, t->gone, t->born,
+               t->changed);
+    }
+  for (size_t i = 0; i < r->n_turns; i++)
+    cfs_turn_load (cfs_table_add (&f->turns, r->turns[i]->service),
+                   r->turns[i]);
+}
+
+bool
+cfs_fleet_update (struct cfs_fleet *f, const Cfs__HeartbeatReply *r)
+{
+  uint64_t had = f->catalog ? f->catalog->version : 0;
+  bool current = r->version > 0 && take_document (f, r);
+
+  take_targets (f, r);
+  if (current && r->lease_until_us > f->lease_until)
+    f->lease_until = r->lease_until_us;
+  return f->catalog && f->catalog->version != had;
+}
+
+bool
+cfs_fleet_leased (const struct cfs_fleet *f, int64_t now)
+{
+  return f->catalog && now < f->lease_until;
+}
+
+const struct cfs_target *
+cfs_fleet_target (const struct cfs_fleet *f, const char *id)
+{
+  const struct cfs_target *t = cfs_table_find (&f->targets, id);
+
+  return t && !t->gone ? t : NULL;
+}
+
+bool
+cfs_fleet_is_near (const struct cfs_fleet *f, const char *zone)
+{
+  return strcmp (cfs_settings_region (f->settings, zone),
+                 cfs_settings_region (f->settings, f->settings->zone))
+         == 0;
+}
--- /dev/null
+++ b/src/process/front.c
@@ -0,0 +1,263 @@
+/*
+ * One loop drives callers, links to targets, readiness and the pair to the
+ * control thread, so none of them needs a lock.
+ *
+ * A planned stop: the host is not ready at once, and goes on serving while
+ * balancers take notice.  Sessions at rest are then closed, new ones are
+ * refused, and transactions that are still open at half of the stop time
+ * are rolled back.
+ */
+#include "front.h"
+
+#include "../../platform/callers.h"
+#include "../../platform/document.h"
+#include "../../platform/instances.h"
+#include "../../platform/ready.h"
+#include "log.h"
+#include "pair.h"
+#include "traffic.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PART "front"
+#define TICK_US (4 * CFS_US_PER_MS)
+/* Time between reports of the teams' demand. */
+#define USES_US (900 * CFS_US_PER_MS)
+/* The same while a team has demand here and no share. */
+#define USES_URGENT_US (100 * CFS_US_PER_MS)
+/* Stages of a planned stop, in parts of the stop time. */
+#define CLOSE_RESTING_PART 0.17
+#define REFUSE_NEW_PART 0.42
+#define ABANDON_PART 0.5
+/* Left at the end of the stop time for the process itself. */
+#define STOP_SPARE_US (700 * CFS_US_PER_MS)
+
+struct cfs_front
+{
+  const struct cfs_settings *settings;
+  apr_pool_t *apr;
+  struct cfs_loop *loop;
+  struct cfs_fleet fleet;
+  struct cfs_quota quota;
+  struct cfs_target_edge *edge;
+  struct cfs_pool *pool;
+  struct cfs_sessions *sessions;
+  struct callers *callers;
+  struct ready *ready;
+  struct cfs_pair *pair;
+  int64_t uses_at;
+  bool draining;
+  bool was_ready;
+};
+
+static bool
+is_ready (void *ctx)
+{
+  const struct cfs_front *f = ctx;
+
+  return !f->draining && cfs_fleet_leased (&f->fleet, cfs_now ());
+}
+
+static void
+metrics (void *ctx, GString *out)
+{
+  const struct cfs_front *f = ctx;
+
+  g_string_append_printf (out,
+                          "coltsfootstage_ready %d\n"
+                          "coltsfootstage_version %" PRIu64 "\n",
+                          is_ready (ctx),
+                          f->fleet.catalog ? f->fleet.catalog->version : 0);
+  cfs_sessions_metrics (f->sessions, out);
+  cfs_pool_metrics (f->pool, out);
+  cfs_log_metrics (out);
+}
+
+struct cfs_front *
+cfs_front_new (const struct cfs_settings *settings, void *zmq, GError **error)
+{
+  struct cfs_front *f = cfs_alloc (sizeof *f);
+  struct cfs_sessions_setup sessions
+      = { .fleet = &f->fleet, .quota = &f->quota };
+  struct ready_setup ready = { .address = settings->ready_address,
+                               .is_ready = is_ready,
+                               .metrics = metrics,
+                               .ctx = f };
+
+  f->settings = settings;
+  cfs_fleet_init (&f->fleet, settings, &document_edge);
+  cfs_quota_init (&f->quota);
+  apr_pool_create (&f->apr, NULL);
+  f->loop = cfs_loop_new (f->apr);
+  f->pair = cfs_pair_new (zmq, TRAFFIC_ENDPOINT, false, f->loop);
+  f->edge = instances_edge_new (f->loop);
+  f->pool = cfs_pool_new (f->edge, &f->fleet, cfs_now);
+  sessions.pool = f->pool;
+  f->sessions = cfs_sessions_new (&sessions);
+  ready.loop = f->loop;
+  f->ready = ready_new (&ready, error);
+  if (f->ready)
+    f->callers
+        = callers_new (f->loop, settings->session_address, f->sessions, error);
+  if (f->pair && f->callers)
+    return f;
+  cfs_front_free (f);
+  return NULL;
+}
+
+void
+cfs_front_free (struct cfs_front *f)
+{
+  if (!f)
+    return;
+  callers_free (f->callers);
+  cfs_sessions_free (f->sessions);
+  cfs_pool_free (f->pool);
+  instances_edge_free (f->edge);
+  ready_free (f->ready);
+  cfs_pair_free (f->pair);
+  cfs_quota_end (&f->quota);
+  cfs_fleet_end (&f->fleet);
+  apr_pool_destroy (f->apr);
+  free (f);
+}
+
+static void
+take_reply (struct cfs_front *f, const Cfs__HeartbeatReply *r)
+{
+  cfs_fleet_update (&f->fleet, r);
+  if (r->has_shares && f->fleet.catalog)
+    cfs_quota_update (&f->quota, r->shares, r->n_shares, f->fleet.catalog,
+                      r->lease_until_us, cfs_now ());
+  else
+    cfs_quota_renew (&f->quota, r->lease_until_us);
+}
+
+static void
+pump_pair (struct cfs_front *f)
+{
+  Cfs__Peer *msg;
+
+  while ((msg = cfs_pair_receive (f->pair)))
+    {
+      if (msg->body_case == CFS__PEER__BODY_REPLY)
+        take_reply (f, msg->reply);
+      cfs__peer__free_unpacked (msg, NULL);
+    }
+}
+
+/* Whether a team asks here and has no share yet. */
+static bool
+lacks_share (const struct cfs_front *f)
+{
+  for (size_t i = 0; i < f->quota.rows.count; i++)
+    {
+      const struct cfs_quota_row *r = cfs_table_at (&f->quota.rows, i);
+
+      if (r->share <= 0 && r->asked > 0)
+        return true;
+    }
+  return false;
+}
+
+static void
+send_uses (struct cfs_front *f, int64_t now)
+{
+  const struct cfs_catalog *c = f->fleet.catalog;
+  Cfs__Peer out = CFS__PEER__INIT;
+  Cfs__Heartbeat h = CFS__HEARTBEAT__INIT;
+  Cfs__TeamUse *rows;
+  int64_t wait = lacks_share (f) ? USES_URGENT_US : USES_US;
+
+  if (!c || c->team_count == 0 || now - f->uses_at < wait)
+    return;
+  f->uses_at = now;
+  rows = cfs_alloc (c->team_count * sizeof *rows);
+  h.uses = cfs_alloc (c->team_count * sizeof *h.uses);
+  for (size_t i = 0; i < c->team_count; i++)
+    {
+      struct cfs_quota_row *q
+          = cfs_table_add (&f->quota.rows, c->teams[i].name);
+
+      cfs__team_use__init (&rows[i]);
+      rows[i].team = c->teams[i].name;
+      rows[i].demand = cfs_quota_demand (q, now);
+      rows[i].share = now < f->quota.until ? q->share : 0;
+      h.uses[h.n_uses++] = &rows[i];
+    }
+  out.body_case = CFS__PEER__BODY_HEARTBEAT;
+  out.heartbeat = &h;
+  cfs_pair_send (f->pair, &out);
+  free (h.uses);
+  free (rows);
+}
+
+static void
+log_ready (struct cfs_front *f)
+{
+  bool now_ready = is_ready (f);
+
+  if (now_ready == f->was_ready)
+    return;
+  f->was_ready = now_ready;
+  cfs_log (CFS_NOTICE, PART, "ready=%d draining=%d version=%" PRIu64,
+           now_ready, f->draining,
+           f->fleet.catalog ? f->fleet.catalog->version : 0);
+}
+
+static void
+turn (struct cfs_front *f)
+{
+  int64_t now;
+
+  ready_pump (f->ready);
+  pump_pair (f);
+  cfs_loop_poll (f->loop, TICK_US);
+  pump_pair (f);
+  now = cfs_now ();
+  cfs_pool_tick (f->pool, now);
+  cfs_sessions_tick (f->sessions, now);
+  send_uses (f, now);
+  log_ready (f);
+}
+
+static void
+drain (struct cfs_front *f)
+{
+  int64_t whole = (int64_t)f->settings->stop_seconds * CFS_US_PER_S;
+  int64_t started = cfs_now ();
+  int64_t since = 0;
+
+  f->draining = true;
+  while (since < whole - STOP_SPARE_US)
+    {
+      turn (f);
+      since = cfs_now () - started;
+      if (since > (int64_t)((double)whole * REFUSE_NEW_PART))
+        {
+          cfs_sessions_refuse (f->sessions);
+          if (cfs_sessions_open (f->sessions) == 0)
+            break;
+        }
+      if (since > (int64_t)((double)whole * CLOSE_RESTING_PART))
+        cfs_sessions_drain (f->sessions,
+                            since > (int64_t)((double)whole * ABANDON_PART),
+                            cfs_now ());
+    }
+}
+
+void
+cfs_front_run (struct cfs_front *f, const volatile bool *stop)
+{
+  cfs_log (CFS_NOTICE, PART, "starts, sessions on %s, ready on %s",
+           f->settings->session_address, f->settings->ready_address);
+  while (!*stop)
+    turn (f);
+  cfs_log (CFS_NOTICE, PART, "stops with sessions=%zu",
+           cfs_sessions_open (f->sessions));
+  drain (f);
+  cfs_log (CFS_NOTICE, PART, "stopped with sessions=%zu",
+           cfs_sessions_open (f->sessions));
+}
--- a/src/process/leader.c
+++ b/src/process/leader.c
@@ -8,7 +8,7 @@
  * Placement is by rendezvous hash among live hosts, those in the zone of the
  * primary first: it needs no table and moves little when hosts change.
  */
-#include "leader.h"
+#include "leader_int.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -16,49 +16,6 @@
 
 #define ASSIGN_BATCH 256
 
-/* A resource that its holder gave back at a certain epoch. */
-struct release
-{
-  char resource[CFS_NAME_MAX];
-  uint64_t epoch;
-};
-
-/* Rows of the reply under construction, kept between calls. */
-struct reply_rows
-{
-  Cfs__HeartbeatReply msg;
-  Cfs__Version *versions;
-  Cfs__Version **version_list;
-  size_t version_cap;
-  Cfs__Assignment *leases;
-  Cfs__Assignment **lease_list;
-  size_t lease_cap;
-  Cfs__Group *groups;
-  Cfs__Group **group_list;
-  Cfs__Branch *branches;
-  Cfs__Branch **branch_list;
-  size_t group_cap;
-  Cfs__Instance *instances;
-  Cfs__Instance **instance_list;
-  size_t instance_cap;
-};
-
-struct cfs_leader
-{
-  const struct cfs_leader_ops *ops;
-  void *ctx;
-  const struct cfs_state *state;
-  struct cfs_conf *conf;
-  struct cfs_table hosts;
-  struct cfs_table instances;
-  struct cfs_table releases;
-  bool leading;
-  uint64_t applied;
-  uint64_t assign_index;
-  int64_t grace_end;
-  struct reply_rows rows;
-};
-
 static uint64_t
 propose (struct cfs_leader *l, const Cfs__Command *c)
 {
@@ -265,10 +222,18 @@
 static void
 reload_conf (struct cfs_leader *l)
 {
-  if (l->conf && l->conf->version == l->state->version)
+  if (l->read && l->read_version == l->state->version)
     return;
+  l->read = true;
+  l->read_version = l->state->version;
   cfs_conf_free (l->conf);
-  l->conf = cfs_conf_parse (l->state->document, l->state->version, NULL);
+  cfs_catalog_free (l->catalog);
+  l->conf = NULL;
+  l->catalog = NULL;
+  if (!l->edge)
+    l->conf = cfs_conf_parse (l->state->document, l->state->version, NULL);
+  else if (l->state->version)
+    l->catalog = l->edge->read (l->state->document, l->state->version, NULL);
 }
 
 static void
@@ -278,6 +243,7 @@
   l->releases.count = 0;
   l->assign_index = 0;
   l->grace_end = now + LEASE_WAIT_US;
+  cfs_shares_start (&l->shares, now + l->share_wait_us);
 }
 
 static void
@@ -384,143 +350,6 @@
     }
 }
 
-/* Room for @need rows and as many pointers to them. */
-static void
-reserve (void *rows, void *list, size_t *cap, size_t need, size_t size)
-{
-  void **r = rows;
-  void **p = list;
-
-  if (need <= *cap)
-    return;
-  free (*r);
-  free (*p);
-  *cap = need * 2;
-  *r = cfs_alloc (*cap * size);
-  *p = cfs_alloc (*cap * sizeof (void *));
-}
-
-/* Patches since the host's version, or the document when they are gone. */
-static void
-reply_conf (struct cfs_leader *l, uint64_t have)
-{
-  const struct cfs_state *s = l->state;
-  struct reply_rows *rows = &l->rows;
-  uint64_t need = s->version > have ? s->version - have : 0;
-
-  rows->msg.version = s->version;
-  if (have > 0 && need <= s->version_count)
-    {
-      reserve (&rows->versions, &rows->version_list, &rows->version_cap,
-               (size_t)need, sizeof *rows->versions);
-      for (size_t i = 0; i < need; i++)
-        {
-          const struct cfs_version *v
-              = &s->versions[s->version_count - need + i];
-
-          cfs_version_message (v, &rows->versions[i]);
-          rows->version_list[i] = &rows->versions[i];
-        }
-      rows->msg.versions = rows->version_list;
-      rows->msg.n_versions = (size_t)need;
-    }
-  else if (need)
-    rows->msg.document = s->document;
-}
-
-static bool
-holds_gate (const struct cfs_leader *l, const char *group, const char *host)
-{
-  char resource[CFS_NAME_MAX];
-  const struct cfs_lease *lease;
-
-  snprintf (resource, sizeof resource, GATE_PREFIX "%.48s", group);
-  lease = cfs_table_find (&l->state->leases, resource);
-  return lease && strcmp (lease->holder, host) == 0;
-}
-
-static void
-reply_instances (struct cfs_leader *l, const char *host)
-{
-  struct reply_rows *rows = &l->rows;
-
-  reserve (&rows->instances, &rows->instance_list, &rows->instance_cap,
-           l->instances.count, sizeof *rows->instances);
-  for (size_t i = 0; i < l->instances.count; i++)
-    {
-      const struct cfs_instance *row = cfs_table_at (&l->instances, i);
-      Cfs__Instance *out = &rows->instances[rows->msg.n_instances];
-
-      if (!holds_gate (l, row->group, host))
-        continue;
-      cfs__instance__init (out);
-      out->name = (char *)row->name;
-      out->group = (char *)row->group;
-      out->zone = (char *)row->zone;
-      out->address = (char *)row->address;
-      out->port = row->port;
-      out->slots = row->slots;
-      out->connections = row->connections;
-      out->term = row->term;
-      out->position = row->position;
-      out->primary = row->primary;
-      out->leaving = row->leaving;
-      rows->instance_list[rows->msg.n_instances++] = out;
-    }
-  rows->msg.instances = rows->instance_list;
-}
-
-static void
-reply_directory (struct cfs_leader *l, const Cfs__Heartbeat *in)
-{
-  const struct cfs_state *s = l->state;
-  struct reply_rows *rows = &l->rows;
-
-  rows->msg.directory = s->directory;
-  if (in->directory >= s->directory)
-    return;
-  reserve (&rows->leases, &rows->lease_list, &rows->lease_cap, s->leases.count,
-           sizeof *rows->leases);
-  for (size_t i = 0; i < s->leases.count; i++)
-    {
-      const struct cfs_lease *lease = cfs_table_at (&s->leases, i);
-
-      if (lease->changed <= in->directory)
-        continue;
-      cfs_lease_message (lease, &rows->leases[rows->msg.n_assignments]);
-      rows->lease_list[rows->msg.n_assignments]
-          = &rows->leases[rows->msg.n_assignments];
-      rows->msg.n_assignments++;
-    }
-  if (s->groups.count > rows->group_cap)
-    {
-      free (rows->branches);
-      free (rows->branch_list);
-      rows->branches = cfs_alloc (s->groups.count * 2 * STATE_BRANCHES_MAX
-                                  * sizeof *rows->branches);
-      rows->branch_list = cfs_alloc (s->groups.count * 2 * STATE_BRANCHES_MAX
-                                     * sizeof (void *));
-    }
-  reserve (&rows->groups, &rows->group_list, &rows->group_cap, s->groups.count,
-           sizeof *rows->groups);
-  for (size_t i = 0; i < s->groups.count; i++)
-    {
-      const struct cfs_group *g = cfs_table_at (&s->groups, i);
-      size_t n = rows->msg.n_groups;
-
-      if (g->changed <= in->directory)
-        continue;
-      cfs_group_message (g, &rows->groups[n],
-                         rows->branches + n * STATE_BRANCHES_MAX,
-                         rows->branch_list + n * STATE_BRANCHES_MAX);
-      rows->group_list[n] = &rows->groups[n];
-      rows->msg.n_groups++;
-    }
-  rows->msg.assignments = rows->lease_list;
-  rows->msg.groups = rows->group_list;
-  reply_instances (l, in->host);
-}
-
 struct cfs_leader *
 cfs_leader_new (const struct cfs_leader_ops *ops, void *ctx,
                 const struct cfs_state *state)
@@ -533,6 +362,7 @@
   cfs_table_init (&l->hosts, sizeof (struct cfs_host));
   cfs_table_init (&l->instances, sizeof (struct cfs_instance));
   cfs_table_init (&l->releases, sizeof (struct release));
+  cfs_shares_init (&l->shares);
   return l;
 }
 
@@ -555,6 +385,9 @@
   free (l->rows.branch_list);
   free (l->rows.instances);
   free (l->rows.instance_list);
+  leader_reply_end (l);
+  cfs_catalog_free (l->catalog);
+  cfs_shares_end (&l->shares);
   free (l);
 }
 
@@ -593,8 +426,9 @@
   l->rows.msg.granted = h->fence <= l->applied;
   if (l->rows.msg.granted)
     h->lease_end = now + LEASE_WAIT_US;
-  reply_conf (l, in->version);
-  reply_directory (l, in);
+  leader_reply_conf (l, in->version);
+  leader_reply_directory (l, in);
+  leader_reply_fleet (l, in, now);
   return &l->rows.msg;
 }
 
@@ -613,6 +447,28 @@
   return true;
 }
 
+void
+cfs_leader_serve_documents (struct cfs_leader *l,
+                            const struct cfs_document_edge *edge,
+                            int64_t lease_us)
+{
+  l->edge = edge;
+  l->share_wait_us = lease_us + lease_us / 20;
+}
+
+void
+cfs_leader_set_members (struct cfs_leader *l,
+                        const struct cfs_members *members)
+{
+  l->members = *members;
+}
+
+const struct cfs_catalog *
+cfs_leader_catalog (const struct cfs_leader *l)
+{
+  return l->catalog;
+}
+
 const struct cfs_table *
 cfs_leader_hosts (const struct cfs_leader *l)
 {
--- a/src/process/leader.h
+++ b/src/process/leader.h
@@ -11,6 +11,8 @@
 
 #include "../cfs.h"
 #include "../version/conf.h"
+#include "fleet.h"
+#include "raft.h"
 #include "state.h"
 
 /* A host may act on its leases this long after it sent its heartbeat. */
@@ -121,6 +123,22 @@
 bool cfs_leader_in_force (const struct cfs_leader *leader, uint64_t version,
                           int64_t now);
 
+/**
+ * cfs_leader_serve_documents() - configuration by whole documents
+ * @edge: decodes them, must outlive the leader
+ * @lease_us: how long a host acts on a version and on its shares
+ */
+void cfs_leader_serve_documents (struct cfs_leader *leader,
+                                 const struct cfs_document_edge *edge,
+                                 int64_t lease_us);
+
+/** cfs_leader_set_members() - members of the control group, told to hosts */
+void cfs_leader_set_members (struct cfs_leader *leader,
+                             const struct cfs_members *members);
+
+/** cfs_leader_catalog() - the version in force, NULL before the first */
+const struct cfs_catalog *cfs_leader_catalog (const struct cfs_leader *leader);
+
 /** cfs_leader_hosts() - rows of struct cfs_host, read only */
 const struct cfs_table *cfs_leader_hosts (const struct cfs_leader *leader);
 
--- /dev/null
+++ b/src/process/leader_int.h
@@ -0,0 +1,89 @@
+/**
+ * DOC: Private parts of the control leader, shared by leader.c and
+ * leader_reply.c.
+ */
+#ifndef CFS_LEADER_INT_H
+#define CFS_LEADER_INT_H
+
+#include "leader.h"
+
+#include "shares.h"
+
+/* A resource that its holder gave back at a certain epoch. */
+struct release
+{
+  char resource[CFS_NAME_MAX];
+  uint64_t epoch;
+};
+
+/* Rows of the reply under construction, kept between calls. */
+struct reply_rows
+{
+  Cfs__HeartbeatReply msg;
+  Cfs__Version *versions;
+  Cfs__Version **version_list;
+  size_t version_cap;
+  Cfs__Assignment *leases;
+  Cfs__Assignment **lease_list;
+  size_t lease_cap;
+  Cfs__Group *groups;
+  Cfs__Group **group_list;
+  Cfs__Branch *branches;
+  Cfs__Branch **branch_list;
+  size_t group_cap;
+  Cfs__Instance *instances;
+  Cfs__Instance **instance_list;
+  size_t instance_cap;
+  Cfs__Target *targets;
+  Cfs__Target **target_list;
+  size_t target_cap;
+  Cfs__Turn *turns;
+  Cfs__Turn **turn_list;
+  size_t turn_cap;
+  Cfs__TeamShare *shares;
+  Cfs__TeamShare **share_list;
+  size_t share_cap;
+  char *members[RAFT_MEMBERS_MAX];
+};
+
+struct cfs_leader
+{
+  const struct cfs_leader_ops *ops;
+  void *ctx;
+  const struct cfs_state *state;
+  struct cfs_conf *conf;
+  struct cfs_table hosts;
+  struct cfs_table instances;
+  struct cfs_table releases;
+  bool leading;
+  uint64_t applied;
+  uint64_t assign_index;
+  int64_t grace_end;
+  struct reply_rows rows;
+  const struct cfs_document_edge *edge;
+  struct cfs_catalog *catalog;
+  bool read;
+  uint64_t read_version;
+  int64_t share_wait_us;
+  struct cfs_shares shares;
+  struct cfs_members members;
+};
+
+/** leader_reply_conf() - what a host lacks of the configuration */
+void leader_reply_conf (struct cfs_leader *leader, uint64_t have);
+
+/** leader_reply_directory() - leases, groups and instances that changed */
+void leader_reply_directory (struct cfs_leader *leader,
+                             const Cfs__Heartbeat *in);
+
+/** leader_reply_fleet() - targets, changes of primary, shares and members */
+void leader_reply_fleet (struct cfs_leader *leader, const Cfs__Heartbeat *in,
+                         int64_t now);
+
+/** leader_reply_end() - frees the rows of the fleet's part */
+void leader_reply_end (struct cfs_leader *leader);
+
+/** leader_members_hash() - tells lists of members apart, never 0 */
+uint64_t leader_members_hash (const struct cfs_members *members);
+
+#endif
--- a/src/process/log.c
+++ b/src/process/log.c
@@ -1,9 +1,13 @@
 /*
- * Lines look like "<6>2026-01-02T03:04:05Z host coltsfootstage[pid]: part:
- * text".  They go out by one write each, so threads do not mix lines.
+ * Each line goes out by one write, so threads do not mix lines.  A token
+ * bucket bounds their number; a part of it is kept for what matters most.
  */
 #include "log.h"
 
+#include <errno.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -11,46 +15,134 @@
 #include <unistd.h>
 
 #define LINE_MAX_BYTES 1024
+/* Lines a second in the long run, and at once. */
+#define LINES_PER_S 200.0
+#define LINES_BURST 400.0
+/* Part of the burst that lines of level INFO may not use. */
+#define LINES_KEPT 200.0
+#define NS_PER_S 1e9
 
 static struct
 {
+  pthread_mutex_t lock;
   char host[64];
   enum cfs_level level;
-} log_setup = { "-", CFS_INFO };
+  double tokens;
+  struct timespec filled;
+  uint64_t written;
+  uint64_t lost;
+  uint64_t lost_told;
+} log_state = { .lock = PTHREAD_MUTEX_INITIALIZER,
+                .host = "-",
+                .level = CFS_INFO,
+                .tokens = LINES_BURST };
+
+static const char *const level_names[] = { "emergency", "alert",   "critical",
+                                           "error",     "warning", "notice",
+                                           "info" };
 
 void
 cfs_log_open (const char *host, enum cfs_level level)
 {
-  snprintf (log_setup.host, sizeof log_setup.host, "%s", host);
-  log_setup.level = level;
+  snprintf (log_state.host, sizeof log_state.host, "%s", host);
+  log_state.level = level;
+  fcntl (STDOUT_FILENO, F_SETFL, fcntl (STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
 }
 
-void
-cfs_log (enum cfs_level level, const char *part, const char *format, ...)
+/* Whether the line may be written; to be called with the lock held. */
+static bool
+take_token (enum cfs_level level)
 {
-  char line[LINE_MAX_BYTES];
-  char stamp[32];
-  time_t now = time (NULL);
+  struct timespec now;
+  double passed;
+
+  clock_gettime (CLOCK_BOOTTIME, &now);
+  passed = (double)(now.tv_sec - log_state.filled.tv_sec)
+           + (double)(now.tv_nsec - log_state.filled.tv_nsec) / NS_PER_S;
+  log_state.filled = now;
+  log_state.tokens += passed * LINES_PER_S;
+  if (log_state.tokens > LINES_BURST)
+    log_state.tokens = LINES_BURST;
+  if (log_state.tokens < (level >= CFS_INFO ? LINES_KEPT : 1))
+    return false;
+  log_state.tokens -= 1;
+  return true;
+}
+
+static int
+start_line (char *line, enum cfs_level level, const char *part)
+{
+  struct timespec now;
   struct tm tm;
-  va_list args;
-  int len;
+  char stamp[32];
 
-  if (level > log_setup.level)
-    return;
-  gmtime_r (&now, &tm);
-  strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%SZ", &tm);
-  len = snprintf (line, sizeof line,
-                  "<%d>%s %s coltsfootstage[%ld]: %s: ", (int)level, stamp,
-                  log_setup.host, (long)getpid (), part);
-  va_start (args, format);
-  len += vsnprintf (line + len, sizeof line - (size_t)len, format, args);
-  va_end (args);
-  if (len > (int)sizeof line - 2)
-    len = (int)sizeof line - 2;
+  clock_gettime (CLOCK_REALTIME, &now);
+  gmtime_r (&now.tv_sec, &tm);
+  strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &tm);
+  return snprintf (
+      line, LINE_MAX_BYTES, "t=%s.%03ldZ host=%s level=%s part=%s ", stamp,
+      now.tv_nsec / 1000000, log_state.host, level_names[level], part);
+}
+
+static void
+put_line (char *line, int len)
+{
+  if (len > LINE_MAX_BYTES - 2)
+    len = LINE_MAX_BYTES - 2;
   for (int i = 0; i < len; i++)
     if ((unsigned char)line[i] < ' ')
       line[i] = ' ';
   line[len++] = '\n';
-  if (write (STDERR_FILENO, line, (size_t)len) < 0)
+  if (write (STDOUT_FILENO, line, (size_t)len) == len)
+    log_state.written++;
+  else
+    log_state.lost++;
+}
+
+static void
+tell_lost (void)
+{
+  char line[LINE_MAX_BYTES];
+  int len = start_line (line, CFS_WARNING, "log");
+
+  len += snprintf (line + len, sizeof line - (size_t)len,
+                   "lines lost=%" PRIu64, log_state.lost);
+  log_state.lost_told = log_state.lost;
+  put_line (line, len);
+}
+
+void
+cfs_log (enum cfs_level level, const char *part, const char *format, ...)
+{
+  char line[LINE_MAX_BYTES];
+  va_list args;
+  int len;
+
+  if (level > log_state.level)
     return;
+  pthread_mutex_lock (&log_state.lock);
+  if (!take_token (level))
+    log_state.lost++;
+  else
+    {
+      if (log_state.lost > log_state.lost_told)
+        tell_lost ();
+      len = start_line (line, level, part);
+      va_start (args, format);
+      len += vsnprintf (line + len, sizeof line - (size_t)len, format, args);
+      va_end (args);
+      put_line (line, len);
+    }
+  pthread_mutex_unlock (&log_state.lock);
+}
+
+void
+cfs_log_metrics (GString *out)
+{
+  pthread_mutex_lock (&log_state.lock);
+  g_string_append_printf (out,
+                          "coltsfootstage_log_lines_total %" PRIu64 "\n"
+                          "coltsfootstage_log_lines_lost_total %" PRIu64 "\n",
+                          log_state.written, log_state.lost);
+  pthread_mutex_unlock (&log_state.lock);
 }
--- a/src/process/net.c
+++ b/src/process/net.c
@@ -15,6 +15,9 @@
 #define SEND_QUEUE 10000
 #define PING_MS 500
 #define PING_TIMEOUT_MS 1500
+#define CONNECT_MAX_MS 1000
+#define SILENCE_MAX_MS 2000
+#define HANDSHAKE_MAX_MS 2000
 #define RECONNECT_MS 50
 #define RECONNECT_MAX_MS 500
 #define ENDPOINT_MAX 96
@@ -61,6 +64,9 @@
   set_int (socket, ZMQ_RCVHWM, SEND_QUEUE);
   set_int (socket, ZMQ_HEARTBEAT_IVL, PING_MS);
   set_int (socket, ZMQ_HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS);
+  set_int (socket, ZMQ_CONNECT_TIMEOUT, CONNECT_MAX_MS);
+  set_int (socket, ZMQ_TCP_MAXRT, SILENCE_MAX_MS);
+  set_int (socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MAX_MS);
   set_int (socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
   set_int (socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 }
@@ -74,9 +80,12 @@
     return true;
   n->router = zmq_socket (n->setup.zmq, ZMQ_ROUTER);
   set_common (n->router);
-  set_int (n->router, ZMQ_CURVE_SERVER, 1);
-  zmq_setsockopt (n->router, ZMQ_CURVE_SECRETKEY, n->setup.secret_key,
-                  strlen (n->setup.secret_key));
+  if (*n->setup.public_key)
+    {
+      set_int (n->router, ZMQ_CURVE_SERVER, 1);
+      zmq_setsockopt (n->router, ZMQ_CURVE_SECRETKEY, n->setup.secret_key,
+                      strlen (n->setup.secret_key));
+    }
   snprintf (endpoint, sizeof endpoint, "tcp://%s:%u", n->setup.address,
             n->setup.port);
   if (zmq_bind (n->router, endpoint) != 0)
@@ -117,6 +126,20 @@
   free (n);
 }
 
+static void
+set_curve (struct cfs_net *n, void *socket)
+{
+  const char *public_key = n->setup.public_key;
+  const char *secret_key = n->setup.secret_key;
+
+  zmq_setsockopt (socket, ZMQ_CURVE_SERVERKEY, public_key,
+                  strlen (public_key));
+  zmq_setsockopt (socket, ZMQ_CURVE_PUBLICKEY, public_key,
+                  strlen (public_key));
+  zmq_setsockopt (socket, ZMQ_CURVE_SECRETKEY, secret_key,
+                  strlen (secret_key));
+}
+
 static struct link *
 find_link (struct cfs_net *n, const char *address, uint32_t port)
 {
@@ -133,12 +156,8 @@
   l->socket = zmq_socket (n->setup.zmq, ZMQ_DEALER);
   set_common (l->socket);
   set_int (l->socket, ZMQ_IMMEDIATE, 1);
-  zmq_setsockopt (l->socket, ZMQ_CURVE_SERVERKEY, n->setup.public_key,
-                  strlen (n->setup.public_key));
-  zmq_setsockopt (l->socket, ZMQ_CURVE_PUBLICKEY, n->setup.public_key,
-                  strlen (n->setup.public_key));
-  zmq_setsockopt (l->socket, ZMQ_CURVE_SECRETKEY, n->setup.secret_key,
-                  strlen (n->setup.secret_key));
+  if (*n->setup.public_key)
+    set_curve (n, l->socket);
   zmq_connect (l->socket, endpoint);
   l->watch = cfs_loop_add_zmq (n->loop, l->socket);
   return l;
--- a/src/process/net.h
+++ b/src/process/net.h
@@ -29,7 +29,8 @@
  * @zmq: ZeroMQ context, owned by the caller
  * @address: IP number to bind
  * @port: port to bind, 0 to take no messages in
- * @public_key: CURVE key of the fleet, Z85
+ * @public_key: CURVE key of the fleet, Z85, or "" for a network that is
+ * trusted: then messages are neither encrypted nor authenticated
  * @secret_key: its secret part
  * @receive: handles a message; @from is NULL for replies to what was sent
  */
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -7,6 +7,7 @@
 
 #include "agent.h"
 #include "control.h"
+#include "front.h"
 #include "log.h"
 #include "loop.h"
 #include "net.h"
@@ -42,8 +43,8 @@
 static void
 on_signal (int sig)
 {
-  (void)sig;
-  stop_requested = true;
+  if (sig != SIGHUP)
+    stop_requested = true;
 }
 
 static void
@@ -128,29 +129,55 @@
   apr_pool_destroy (n->pool);
 }
 
+/* Runs the control thread while the calling thread carries traffic. */
 static bool
-serve (struct node *n, GError **error)
+run_beside (struct node *n, void (*run) (void *traffic), void *traffic)
 {
-  struct cfs_traffic *traffic
-      = cfs_traffic_new (n->settings, n->boot, n->zmq, error);
   apr_thread_t *thread;
   apr_status_t rc;
 
-  if (!traffic)
-    return false;
   if (apr_thread_create (&thread, NULL, control_main, n, n->pool)
       != APR_SUCCESS)
-    {
-      cfs_traffic_free (traffic);
-      return false;
-    }
-  cfs_traffic_run (traffic, &stop_requested);
+    return false;
+  run (traffic);
   n->stop = true;
   apr_thread_join (&rc, thread);
-  cfs_traffic_free (traffic);
   return true;
 }
 
+static void
+run_calls (void *traffic)
+{
+  cfs_traffic_run (traffic, &stop_requested);
+}
+
+static void
+run_sessions (void *front)
+{
+  cfs_front_run (front, &stop_requested);
+}
+
+static bool
+serve_calls (struct node *n, GError **error)
+{
+  struct cfs_traffic *traffic
+      = cfs_traffic_new (n->settings, n->boot, n->zmq, error);
+  bool ok = traffic && run_beside (n, run_calls, traffic);
+
+  cfs_traffic_free (traffic);
+  return ok;
+}
+
+static bool
+serve_sessions (struct node *n, GError **error)
+{
+  struct cfs_front *front = cfs_front_new (n->settings, n->zmq, error);
+  bool ok = front && run_beside (n, run_sessions, front);
+
+  cfs_front_free (front);
+  return ok;
+}
+
 bool
 cfs_node_serve (const struct cfs_settings *settings, GError **error)
 {
@@ -160,11 +187,13 @@
   signal (SIGPIPE, SIG_IGN);
   signal (SIGTERM, on_signal);
   signal (SIGINT, on_signal);
+  signal (SIGHUP, on_signal);
   apr_initialize ();
   apr_pool_create (&n.pool, NULL);
   randombytes_buf (&n.boot, sizeof n.boot);
   n.zmq = zmq_ctx_new ();
-  n.guard = cfs_net_guard_new (n.zmq, settings->curve_public);
+  if (*settings->curve_public)
+    n.guard = cfs_net_guard_new (n.zmq, settings->curve_public);
   n.loop = cfs_loop_new (n.pool);
   n.pair = cfs_pair_new (n.zmq, TRAFFIC_ENDPOINT, true, n.loop);
   ok = open_control (&n, error);
@@ -172,7 +201,8 @@
     {
       n.agent
           = cfs_agent_new (&agent_ops, &n, settings, n.boot, n.zmq, n.loop);
-      ok = serve (&n, error);
+      ok = cfs_settings_serves_sessions (settings) ? serve_sessions (&n, error)
+                                                   : serve_calls (&n, error);
     }
   end_node (&n);
   apr_terminate ();
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -13,6 +13,11 @@
 #define HASH_HEX_CHARS (2 * CFS_HASH_BYTES)
 #define MAX_BODY_BYTES 1048576
 #define STOP_SECONDS 20
+#define REVOKE_MS 5000
+/* Part of the time in which a withdrawn key must stop working for which a
+   host acts on a configuration without news; the rest covers what is on its
+   way. */
+#define DOCUMENT_LEASE_PART 0.6
 
 #define END_ROW                                                               \
   {                                                                           \
@@ -47,23 +52,36 @@
     = { { "host", FIELD_NAME, 1, 48, NULL, true, NULL },
         { "zone", FIELD_NAME, 1, 48, NULL, true, NULL },
         { "address", FIELD_ADDRESS, 0, 0, NULL, true, NULL },
-        { "http_port", FIELD_INTEGER, 1, 65535, NULL, true, NULL },
+        { "http_port", FIELD_INTEGER, 1, 65535, NULL, false, NULL },
         { "control_port", FIELD_INTEGER, 1, 65535, NULL, false, NULL },
-        { "traffic_port", FIELD_INTEGER, 1, 65535, NULL, true, NULL },
+        { "traffic_port", FIELD_INTEGER, 1, 65535, NULL, false, NULL },
         { "data_folder", FIELD_STRING, 1, 4096, NULL, false, NULL },
-        { "curve", FIELD_OBJECT, 0, 0, NULL, true, curve_fields },
+        { "curve", FIELD_OBJECT, 0, 0, NULL, false, curve_fields },
         { "operator_key_hash", FIELD_HEX, HASH_HEX_CHARS, HASH_HEX_CHARS, NULL,
-          true, NULL },
+          false, NULL },
         { "announce_key_hash", FIELD_HEX, HASH_HEX_CHARS, HASH_HEX_CHARS, NULL,
-          true, NULL },
-        { "target", FIELD_OBJECT, 0, 0, NULL, true, target_fields },
+          false, NULL },
+        { "target", FIELD_OBJECT, 0, 0, NULL, false, target_fields },
         { "tls", FIELD_OBJECT, 0, 0, NULL, false, tls_fields },
         { "max_body_bytes", FIELD_INTEGER, 1024, 16777216, "bytes", false,
           NULL },
         { "stop_seconds", FIELD_INTEGER, 1, 600, "s", false, NULL },
-        { "control", FIELD_LIST, 0, 0, NULL, true, peer_fields },
+        { "control", FIELD_LIST, 0, 0, NULL, false, peer_fields },
+        { "seeds", FIELD_ANY, 0, 0, NULL, false, NULL },
+        { "first_start", FIELD_BOOL, 0, 0, NULL, false, NULL },
+        { "zones", FIELD_ANY, 0, 0, NULL, false, NULL },
+        { "session_address", FIELD_STRING, 0, 48, NULL, false, NULL },
+        { "ready_address", FIELD_STRING, 0, 48, NULL, false, NULL },
+        { "control_address", FIELD_STRING, 0, 48, NULL, false, NULL },
+        { "promotion_address", FIELD_STRING, 0, 48, NULL, false, NULL },
+        { "revoke_ms", FIELD_INTEGER, 100, 600000, "ms", false, NULL },
         END_ROW };
 
+/* Fields that a host needs which serves HTTP calls. */
+static const char *const call_fields[]
+    = { "http_port", "traffic_port",      "curve", "operator_key_hash",
+        "control",   "announce_key_hash", "target" };
+
 static bool
 fail (GError **error, const char *file, const char *what)
 {
@@ -114,6 +132,108 @@
   return true;
 }
 
+static bool
+check_call_fields (const cJSON *doc, const char *file, GError **error)
+{
+  for (size_t i = 0; i < sizeof call_fields / sizeof call_fields[0]; i++)
+    if (!cJSON_GetObjectItemCaseSensitive (doc, call_fields[i]))
+      {
+        g_set_error (error, CFS_SCHEMA_ERROR, 0,
+                     "%s: %s: found nothing, it is needed without seeds", file,
+                     call_fields[i]);
+        return false;
+      }
+  return true;
+}
+
+/* A seed is "IP:PORT"; only the number is used, because the port between
+   hosts is the same everywhere. */
+static bool
+add_seed (struct cfs_settings *s, const char *text)
+{
+  struct cfs_peer *p = &s->control[s->control_count];
+  const char *colon = text ? strchr (text, ':') : NULL;
+
+  if (!colon || colon - text >= CFS_NAME_MAX
+      || s->control_count == SETTINGS_CONTROL_MAX)
+    return false;
+  memcpy (p->host, text, (size_t)(colon - text));
+  cfs_copy (p->address, sizeof p->address, p->host);
+  p->port = s->control_port;
+  s->control_count++;
+  return true;
+}
+
+static bool
+load_seeds (struct cfs_settings *s, const cJSON *doc, const char *file,
+            GError **error)
+{
+  const cJSON *list = cJSON_GetObjectItemCaseSensitive (doc, "seeds");
+  const cJSON *item;
+
+  if (!s->control_port)
+    return fail (error, file, "control_port: found nothing, seeds need it");
+  cJSON_ArrayForEach (item, list)
+  {
+    if (!add_seed (s, cJSON_GetStringValue (item)))
+      return fail (error, file,
+                   "seeds: allowed is a list of 1 to 7 texts \"IP:PORT\"");
+  }
+  if (!cJSON_IsArray (list) || s->control_count == 0)
+    return fail (error, file,
+                 "seeds: allowed is a list of 1 to 7 texts \"IP:PORT\"");
+  return true;
+}
+
+static bool
+load_zones (struct cfs_settings *s, const cJSON *doc, const char *file,
+            GError **error)
+{
+  const cJSON *map = cJSON_GetObjectItemCaseSensitive (doc, "zones");
+  const cJSON *item;
+
+  cJSON_ArrayForEach (item, map)
+  {
+    struct cfs_zone *z = &s->zones[s->zone_count];
+
+    if (!cJSON_IsString (item) || s->zone_count == SETTINGS_ZONES_MAX)
+      return fail (error, file,
+                   "zones: allowed are up to 64 zones, each with a region");
+    cfs_copy (z->name, sizeof z->name, item->string);
+    cfs_copy (z->region, sizeof z->region, item->valuestring);
+    s->zone_count++;
+  }
+  return true;
+}
+
+static bool
+load_session_parts (struct cfs_settings *s, const cJSON *doc, const char *file,
+                    GError **error)
+{
+  s->by_seeds = true;
+  s->first_start
+      = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (doc, "first_start"));
+  cfs_copy (s->session_address, sizeof s->session_address,
+            cfs_json_string (doc, "session_address", ""));
+  cfs_copy (s->ready_address, sizeof s->ready_address,
+            cfs_json_string (doc, "ready_address", ""));
+  cfs_copy (s->control_address, sizeof s->control_address,
+            cfs_json_string (doc, "control_address", ""));
+  cfs_copy (s->promotion_address, sizeof s->promotion_address,
+            cfs_json_string (doc, "promotion_address", ""));
+  s->document_lease_us
+      = (int64_t)(cfs_json_number (doc, "revoke_ms", REVOKE_MS)
+                  * DOCUMENT_LEASE_PART * CFS_US_PER_MS);
+  if (!*s->session_address && !*s->control_address)
+    return fail (error, file,
+                 "session_address, control_address: found nothing, a host "
+                 "with seeds needs one of them");
+  if (*s->control_address && !s->data_folder)
+    return fail (error, file,
+                 "data_folder: found nothing, a control host needs it");
+  return load_seeds (s, doc, file, error) && load_zones (s, doc, file, error);
+}
+
 static void
 load_parts (struct cfs_settings *s, const cJSON *doc)
 {
@@ -162,7 +282,11 @@
   load_hash (doc, "operator_key_hash", s->operator_hash);
   load_hash (doc, "announce_key_hash", s->announce_hash);
   load_parts (s, doc);
-  ok = load_control (s, doc, file, error);
+  if (cJSON_GetObjectItemCaseSensitive (doc, "seeds"))
+    ok = load_session_parts (s, doc, file, error);
+  else
+    ok = check_call_fields (doc, file, error)
+         && load_control (s, doc, file, error);
   cJSON_Delete (doc);
   if (ok)
     return s;
@@ -196,9 +320,40 @@
   free (s);
 }
 
+const char *
+cfs_settings_region (const struct cfs_settings *s, const char *zone)
+{
+  for (size_t i = 0; i < s->zone_count; i++)
+    if (strcmp (s->zones[i].name, zone) == 0)
+      return s->zones[i].region;
+  return zone;
+}
+
+uint32_t
+cfs_settings_split (const char *text, char *host, size_t size)
+{
+  const char *colon = strrchr (text, ':');
+  long port = colon ? strtol (colon + 1, NULL, 10) : 0;
+
+  if (!colon || port < 1 || port > UINT16_MAX
+      || (size_t)(colon - text) >= size)
+    return 0;
+  memcpy (host, text, (size_t)(colon - text));
+  host[colon - text] = '\0';
+  return (uint32_t)port;
+}
+
+bool
+cfs_settings_serves_sessions (const struct cfs_settings *s)
+{
+  return *s->session_address != '\0';
+}
+
 bool
 cfs_settings_is_control (const struct cfs_settings *s)
 {
+  if (s->by_seeds)
+    return *s->control_address != '\0';
   for (size_t i = 0; i < s->control_count; i++)
     if (strcmp (s->control[i].host, s->host) == 0)
       return true;
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #define SETTINGS_CONTROL_MAX 7
+#define SETTINGS_ZONES_MAX 64
 #define CURVE_KEY_CHARS 40
 
 /** struct cfs_peer - a control host as the settings name it */
@@ -20,7 +21,19 @@
   uint32_t port;
 };
 
-/** struct cfs_settings - all fields, checked */
+/** struct cfs_zone - a zone and the region that it is in */
+struct cfs_zone
+{
+  char name[CFS_NAME_MAX];
+  char region[CFS_NAME_MAX];
+};
+
+/**
+ * struct cfs_settings - all fields, checked
+ *
+ * The fields from @by_seeds on are set where sessions are served: addresses
+ * are "IP:PORT", and control hosts are named by their IP numbers.
+ */
 struct cfs_settings
 {
   char host[CFS_NAME_MAX];
@@ -43,6 +56,16 @@
   uint32_t stop_seconds;
   struct cfs_peer control[SETTINGS_CONTROL_MAX];
   size_t control_count;
+  bool by_seeds;
+  bool first_start;
+  char region[CFS_NAME_MAX];
+  struct cfs_zone zones[SETTINGS_ZONES_MAX];
+  size_t zone_count;
+  char session_address[CFS_NAME_MAX];
+  char ready_address[CFS_NAME_MAX];
+  char control_address[CFS_NAME_MAX];
+  char promotion_address[CFS_NAME_MAX];
+  int64_t document_lease_us;
 };
 
 /**
@@ -69,4 +92,19 @@
  */
 bool cfs_settings_is_control (const struct cfs_settings *settings);
 
+/** cfs_settings_region() - region of a zone, or the zone's name itself */
+const char *cfs_settings_region (const struct cfs_settings *settings,
+                                 const char *zone);
+
+/** cfs_settings_serves_sessions() - whether callers hold sessions here */
+bool cfs_settings_serves_sessions (const struct cfs_settings *settings);
+
+/**
+ * cfs_settings_split() - cuts "IP:PORT"
+ * @host: written
+ *
+ * Return: the port, 0 when the text is malformed.
+ */
+uint32_t cfs_settings_split (const char *text, char *host, size_t size);
+
 #endif
--- /dev/null
+++ b/src/process/shares.c
@@ -0,0 +1,136 @@
+/*
+ * A share is a fraction of the rate: what a host wants over what all want.
+ * Everyone gets a base besides its demand, so that the first operations at
+ * a host pass without a question.  A smaller share counts at its old size
+ * until the host reports that it holds the new one.
+ */
+#include "shares.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Part of the rate that is given out; the rest covers drift of clocks. */
+#define GIVEN 0.98
+/* Share asked for beyond the demand, so that bursts pass. */
+#define HEADROOM 1.5
+/* Base of every host as a part of the rate. */
+#define BASE 0.02
+/* Changes below this part of the share are not made. */
+#define CHANGE_MIN 0.1
+
+struct holding
+{
+  char host[CFS_NAME_MAX];
+  double want;
+  double held;
+  double given;
+  int64_t until;
+};
+
+struct team_row
+{
+  char team[CFS_NAME_MAX];
+  struct cfs_table hosts;
+};
+
+void
+cfs_shares_init (struct cfs_shares *s)
+{
+  cfs_table_init (&s->teams, sizeof (struct team_row));
+  s->grace_end = 0;
+}
+
+void
+cfs_shares_end (struct cfs_shares *s)
+{
+  for (size_t i = 0; i < s->teams.count; i++)
+    cfs_table_end (&((struct team_row *)cfs_table_at (&s->teams, i))->hosts);
+  cfs_table_end (&s->teams);
+}
+
+void
+cfs_shares_start (struct cfs_shares *s, int64_t grace_end)
+{
+  cfs_shares_end (s);
+  cfs_shares_init (s);
+  s->grace_end = grace_end;
+}
+
+static struct team_row *
+row_of (struct cfs_shares *s, const char *team)
+{
+  struct team_row *t = cfs_table_find (&s->teams, team);
+
+  if (t)
+    return t;
+  t = cfs_table_add (&s->teams, team);
+  cfs_table_init (&t->hosts, sizeof (struct holding));
+  return t;
+}
+
+/* What may be used on a holding until the host has confirmed it. */
+static double
+out (const struct holding *h, int64_t now)
+{
+  return now < h->until ? fmax (h->held, h->given) : 0;
+}
+
+static void
+forget_expired (struct team_row *t, int64_t now)
+{
+  for (size_t i = t->hosts.count; i > 0; i--)
+    {
+      const struct holding *h = cfs_table_at (&t->hosts, i - 1);
+
+      if (now >= h->until)
+        cfs_table_remove (&t->hosts, i - 1);
+    }
+}
+
+double
+cfs_shares_settle (struct cfs_shares *s, const char *team, double rate,
+                   const char *host, double demand, double held, int64_t now,
+                   int64_t until)
+{
+  struct team_row *t = row_of (s, team);
+  struct holding *mine;
+  double others = 0;
+  double wanted = 0;
+  double share;
+  double room;
+
+  forget_expired (t, now);
+  mine = cfs_table_add (&t->hosts, host);
+  mine->held = held;
+  mine->want = demand * HEADROOM + rate * BASE;
+  for (size_t i = 0; i < t->hosts.count; i++)
+    {
+      const struct holding *h = cfs_table_at (&t->hosts, i);
+
+      wanted += h->want;
+      if (h != mine)
+        others += out (h, now);
+    }
+  share = wanted > 0 ? rate * GIVEN * mine->want / wanted : 0;
+  room = fmax (rate * GIVEN - others, 0);
+  if (now < s->grace_end)
+    room = fmin (room, held);
+  if (fabs (share - held) < CHANGE_MIN * held)
+    share = held;
+  mine->given = fmin (share, room);
+  mine->until = until;
+  return mine->given;
+}
+
+void
+cfs_shares_renew (struct cfs_shares *s, const char *host, int64_t until)
+{
+  for (size_t i = 0; i < s->teams.count; i++)
+    {
+      struct team_row *t = cfs_table_at (&s->teams, i);
+      struct holding *h = cfs_table_find (&t->hosts, host);
+
+      if (h && h->until < until)
+        h->until = until;
+    }
+}
--- /dev/null
+++ b/src/process/shares.h
@@ -0,0 +1,50 @@
+/**
+ * DOC: Division of the teams' rates between hosts, by the control leader.
+ *
+ * Each host gets a part of a team's rate for the time of a lease, in
+ * proportion to the demand that it reports.  What a host may still hold is
+ * counted until it confirmed a smaller share or its lease ran out, so all
+ * shares together never exceed the rate.  No I/O and no clock.
+ */
+#ifndef CFS_SHARES_H
+#define CFS_SHARES_H
+
+#include "table.h"
+
+/** struct cfs_shares - one table of hosts a team */
+struct cfs_shares
+{
+  struct cfs_table teams;
+  int64_t grace_end;
+};
+
+/** cfs_shares_init() - no shares are out */
+void cfs_shares_init (struct cfs_shares *shares);
+
+/** cfs_shares_end() - frees the tables */
+void cfs_shares_end (struct cfs_shares *shares);
+
+/**
+ * cfs_shares_start() - forgets all; until @grace_end hosts may hold shares
+ * of an earlier leader, so none grows
+ */
+void cfs_shares_start (struct cfs_shares *shares, int64_t grace_end);
+
+/**
+ * cfs_shares_settle() - the share of one host
+ * @rate: rate of the team, operations a second
+ * @demand: what the host was asked for, operations a second
+ * @held: share that the host says it holds
+ * @until: end of the lease that covers the answer
+ *
+ * Return: operations a second, at most what is free.
+ */
+double cfs_shares_settle (struct cfs_shares *shares, const char *team,
+                          double rate, const char *host, double demand,
+                          double held, int64_t now, int64_t until);
+
+/** cfs_shares_renew() - the shares of a host stay out until later */
+void cfs_shares_renew (struct cfs_shares *shares, const char *host,
+                       int64_t until);
+
+#endif
--- a/src/process/state.c
+++ b/src/process/state.c
@@ -178,6 +178,21 @@
   s->directory = index;
 }
 
+/* A whole document replaces the one held only under a higher number; there
+   is no patch that leads to it, so hosts get it as a whole. */
+static void
+apply_document (struct cfs_state *s, const Cfs__Document *d)
+{
+  if (d->number <= s->version)
+    return;
+  free (s->document);
+  s->document = cfs_strdup (d->body);
+  s->version = d->number;
+  for (size_t i = 0; i < s->version_count; i++)
+    free_version (&s->versions[i]);
+  s->version_count = 0;
+}
+
 void
 cfs_state_init (struct cfs_state *s)
 {
@@ -185,6 +200,8 @@
   s->document = cfs_strdup ("{}");
   cfs_table_init (&s->leases, sizeof (struct cfs_lease));
   cfs_table_init (&s->groups, sizeof (struct cfs_group));
+  cfs_table_init (&s->targets, sizeof (struct cfs_target));
+  cfs_table_init (&s->turns, sizeof (struct cfs_turn));
 }
 
 void
@@ -199,6 +216,8 @@
   free (s->document);
   cfs_table_end (&s->leases);
   cfs_table_end (&s->groups);
+  cfs_table_end (&s->targets);
+  cfs_table_end (&s->turns);
 }
 
 int
@@ -223,6 +242,17 @@
     case CFS__COMMAND__BODY_DONE:
       apply_done (s, c->done, index);
       break;
+    case CFS__COMMAND__BODY_DOCUMENT:
+      apply_document (s, c->document);
+      break;
+    case CFS__COMMAND__BODY_TARGET:
+      if (cfs_targets_apply (&s->targets, c->target, index))
+        s->directory = index;
+      break;
+    case CFS__COMMAND__BODY_TURN:
+      if (cfs_turns_apply (&s->turns, c->turn, index))
+        s->directory = index;
+      break;
     default:
       break;
     }
@@ -307,6 +337,10 @@
   Cfs__Group **group_list;
   Cfs__Branch *branches;
   Cfs__Branch **branch_list;
+  Cfs__Target *targets;
+  Cfs__Target **target_list;
+  Cfs__Turn *turns;
+  Cfs__Turn **turn_list;
 };
 
 static void
@@ -324,6 +358,10 @@
   im->group_list = cfs_alloc (s->groups.count * sizeof (void *));
   im->branches = cfs_alloc (branches * sizeof *im->branches);
   im->branch_list = cfs_alloc (branches * sizeof (void *));
+  im->targets = cfs_alloc (s->targets.count * sizeof *im->targets);
+  im->target_list = cfs_alloc (s->targets.count * sizeof (void *));
+  im->turns = cfs_alloc (s->turns.count * sizeof *im->turns);
+  im->turn_list = cfs_alloc (s->turns.count * sizeof (void *));
 }
 
 static void
@@ -339,6 +377,10 @@
   free (im->group_list);
   free (im->branches);
   free (im->branch_list);
+  free (im->targets);
+  free (im->target_list);
+  free (im->turns);
+  free (im->turn_list);
 }
 
 static void
@@ -379,6 +421,16 @@
                          im->branch_list + i * STATE_BRANCHES_MAX);
       im->group_list[i] = &im->groups[i];
     }
+  for (size_t i = 0; i < s->targets.count; i++)
+    {
+      cfs_target_message (cfs_table_at (&s->targets, i), &im->targets[i]);
+      im->target_list[i] = &im->targets[i];
+    }
+  for (size_t i = 0; i < s->turns.count; i++)
+    {
+      cfs_turn_message (cfs_table_at (&s->turns, i), &im->turns[i]);
+      im->turn_list[i] = &im->turns[i];
+    }
 }
 
 void
@@ -413,6 +465,10 @@
   m.n_assignments = s->leases.count;
   m.groups = im.group_list;
   m.n_groups = s->groups.count;
+  m.targets = im.target_list;
+  m.n_targets = s->targets.count;
+  m.turns = im.turn_list;
+  m.n_turns = s->turns.count;
   len = cfs__snapshot__get_packed_size (&m);
   *data = cfs_alloc (len);
   cfs__snapshot__pack (&m, *data);
@@ -446,6 +502,12 @@
   for (size_t i = 0; i < m->n_groups; i++)
     cfs_group_load (cfs_table_add (&s->groups, m->groups[i]->name),
                     m->groups[i]);
+  for (size_t i = 0; i < m->n_targets; i++)
+    cfs_target_load (cfs_table_add (&s->targets, m->targets[i]->id),
+                     m->targets[i]);
+  for (size_t i = 0; i < m->n_turns; i++)
+    cfs_turn_load (cfs_table_add (&s->turns, m->turns[i]->service),
+                   m->turns[i]);
   cfs__snapshot__free_unpacked (m, NULL);
   return CFS_OK;
 }
--- a/src/process/state.h
+++ b/src/process/state.h
@@ -10,6 +10,7 @@
 
 #include "../cfs.h"
 #include "table.h"
+#include "targets.h"
 #include "wire.pb-c.h"
 
 /* Names of leases: the prefix and the name of a group or a team. */
@@ -87,6 +88,8 @@
   size_t result_cap;
   struct cfs_table leases;
   struct cfs_table groups;
+  struct cfs_table targets;
+  struct cfs_table turns;
 };
 
 /** cfs_state_init() - state of an empty log: version 0, document "{}" */
--- /dev/null
+++ b/src/process/targets.c
@@ -0,0 +1,132 @@
+/*
+ * A report is ordered by the incarnation of its sender first and by its
+ * sequence number second, so one that was delayed on its way never undoes
+ * what a later incarnation said.  A row that is gone stays as a tombstone
+ * for the same reason.
+ */
+#include "targets.h"
+
+#include <string.h>
+
+bool
+cfs_target_is_newer (const struct cfs_target *row, uint64_t born,
+                     uint64_t sequence)
+{
+  if (born != row->born)
+    return born > row->born;
+  return sequence > row->sequence;
+}
+
+void
+cfs_target_message (const struct cfs_target *t, Cfs__Target *out)
+{
+  cfs__target__init (out);
+  out->id = (char *)t->id;
+  out->service = (char *)t->service;
+  out->address = (char *)t->address;
+  out->zone = (char *)t->zone;
+  out->slots = t->slots;
+  out->primary = t->primary;
+  out->draining = t->draining;
+  out->gone = t->gone;
+  out->born = t->born;
+  out->sequence = t->sequence;
+  out->changed = t->changed;
+}
+
+void
+cfs_target_load (struct cfs_target *t, const Cfs__Target *in)
+{
+  cfs_copy (t->service, sizeof t->service, in->service);
+  cfs_copy (t->address, sizeof t->address, in->address);
+  cfs_copy (t->zone, sizeof t->zone, in->zone);
+  t->slots = in->slots;
+  t->primary = in->primary;
+  t->draining = in->draining;
+  t->gone = in->gone;
+  t->born = in->born;
+  t->sequence = in->sequence;
+  t->changed = in->changed;
+}
+
+void
+cfs_turn_message (const struct cfs_turn *t, Cfs__Turn *out)
+{
+  cfs__turn__init (out);
+  out->service = (char *)t->service;
+  out->open = t->open;
+  out->target = (char *)t->target;
+  out->fence = t->fence;
+  out->changed = t->changed;
+}
+
+void
+cfs_turn_load (struct cfs_turn *t, const Cfs__Turn *in)
+{
+  t->open = in->open;
+  cfs_copy (t->target, sizeof t->target, in->target);
+  t->fence = in->fence;
+  t->changed = in->changed;
+}
+
+bool
+cfs_targets_apply (struct cfs_table *targets, const Cfs__Target *in,
+                   uint64_t index)
+{
+  struct cfs_target *t = cfs_table_find (targets, in->id);
+
+  if (!*in->id)
+    return false;
+  if (t && !cfs_target_is_newer (t, in->born, in->sequence))
+    return false;
+  if (!t)
+    t = cfs_table_add (targets, in->id);
+  cfs_target_load (t, in);
+  t->changed = index;
+  return true;
+}
+
+bool
+cfs_turns_apply (struct cfs_table *turns, const Cfs__Turn *in, uint64_t index)
+{
+  struct cfs_turn *t;
+
+  if (!*in->service)
+    return false;
+  t = cfs_table_add (turns, in->service);
+  if (!in->open && (!t->open || t->fence != in->fence))
+    return false;
+  t->open = in->open;
+  if (in->open)
+    t->fence = index;
+  else if (*in->target)
+    cfs_copy (t->target, sizeof t->target, in->target);
+  t->changed = index;
+  return true;
+}
+
+const struct cfs_target *
+cfs_targets_primary (const struct cfs_table *targets,
+                     const struct cfs_table *turns, const char *service)
+{
+  const struct cfs_turn *turn = cfs_table_find (turns, service);
+  const struct cfs_target *best = NULL;
+  uint64_t best_at = 0;
+
+  for (size_t i = 0; i < targets->count; i++)
+    {
+      const struct cfs_target *t = cfs_table_at (targets, i);
+      bool ordered = turn && !turn->open && strcmp (turn->target, t->id) == 0;
+      uint64_t at
+          = ordered && turn->changed > t->changed ? turn->changed : t->changed;
+
+      if (t->gone || strcmp (t->service, service) != 0
+          || (!t->primary && !(ordered && turn->changed > t->changed)))
+        continue;
+      if (best && at <= best_at)
+        continue;
+      best = t;
+      best_at = at;
+    }
+  return best;
+}
--- a/src/process/wire.pb-c.c
+++ b/src/process/wire.pb-c.c
@@ -502,6 +502,186 @@
   assert(message->base.descriptor == &cfs__heartbeat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfs__target__init
+                     (Cfs__Target         *message)
+{
+  static const Cfs__Target init_value = CFS__TARGET__INIT;
+  *message = init_value;
+}
+size_t cfs__target__get_packed_size
+                     (const Cfs__Target *message)
+{
+  assert(message->base.descriptor == &cfs__target__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfs__target__pack
+                     (const Cfs__Target *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfs__target__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfs__target__pack_to_buffer
+                     (const Cfs__Target *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfs__target__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfs__Target *
+       cfs__target__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfs__Target *)
+     protobuf_c_message_unpack (&cfs__target__descriptor,
+                                allocator, len, data);
+}
+void   cfs__target__free_unpacked
+                     (Cfs__Target *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfs__target__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfs__turn__init
+                     (Cfs__Turn         *message)
+{
+  static const Cfs__Turn init_value = CFS__TURN__INIT;
+  *message = init_value;
+}
+size_t cfs__turn__get_packed_size
+                     (const Cfs__Turn *message)
+{
+  assert(message->base.descriptor == &cfs__turn__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfs__turn__pack
+                     (const Cfs__Turn *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfs__turn__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfs__turn__pack_to_buffer
+                     (const Cfs__Turn *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfs__turn__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfs__Turn *
+       cfs__turn__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfs__Turn *)
+     protobuf_c_message_unpack (&cfs__turn__descriptor,
+                                allocator, len, data);
+}
+void   cfs__turn__free_unpacked
+                     (Cfs__Turn *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfs__turn__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfs__team_use__init
+                     (Cfs__TeamUse         *message)
+{
+  static const Cfs__TeamUse init_value = CFS__TEAM_USE__INIT;
+  *message = init_value;
+}
+size_t cfs__team_use__get_packed_size
+                     (const Cfs__TeamUse *message)
+{
+  assert(message->base.descriptor == &cfs__team_use__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfs__team_use__pack
+                     (const Cfs__TeamUse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfs__team_use__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfs__team_use__pack_to_buffer
+                     (const Cfs__TeamUse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfs__team_use__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfs__TeamUse *
+       cfs__team_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfs__TeamUse *)
+     protobuf_c_message_unpack (&cfs__team_use__descriptor,
+                                allocator, len, data);
+}
+void   cfs__team_use__free_unpacked
+                     (Cfs__TeamUse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfs__team_use__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfs__team_share__init
+                     (Cfs__TeamShare         *message)
+{
+  static const Cfs__TeamShare init_value = CFS__TEAM_SHARE__INIT;
+  *message = init_value;
+}
+size_t cfs__team_share__get_packed_size
+                     (const Cfs__TeamShare *message)
+{
+  assert(message->base.descriptor == &cfs__team_share__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfs__team_share__pack
+                     (const Cfs__TeamShare *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfs__team_share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfs__team_share__pack_to_buffer
+                     (const Cfs__TeamShare *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfs__team_share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfs__TeamShare *
+       cfs__team_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfs__TeamShare *)
+     protobuf_c_message_unpack (&cfs__team_share__descriptor,
+                                allocator, len, data);
+}
+void   cfs__team_share__free_unpacked
+                     (Cfs__TeamShare *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfs__team_share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfs__version__init
                      (Cfs__Version         *message)
 {
@@ -772,6 +952,51 @@
   assert(message->base.descriptor == &cfs__patch__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfs__document__init
+                     (Cfs__Document         *message)
+{
+  static const Cfs__Document init_value = CFS__DOCUMENT__INIT;
+  *message = init_value;
+}
+size_t cfs__document__get_packed_size
+                     (const Cfs__Document *message)
+{
+  assert(message->base.descriptor == &cfs__document__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfs__document__pack
+                     (const Cfs__Document *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfs__document__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfs__document__pack_to_buffer
+                     (const Cfs__Document *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfs__document__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfs__Document *
+       cfs__document__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfs__Document *)
+     protobuf_c_message_unpack (&cfs__document__descriptor,
+                                allocator, len, data);
+}
+void   cfs__document__free_unpacked
+                     (Cfs__Document *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfs__document__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfs__command__init
                      (Cfs__Command         *message)
 {
@@ -2258,7 +2483,7 @@
   (ProtobufCMessageInit) cfs__release__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfs__heartbeat__field_descriptors[12] =
+static const ProtobufCFieldDescriptor cfs__heartbeat__field_descriptors[15] =
 {
   {
     "host",
@@ -2404,6 +2629,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "uses",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__Heartbeat, n_uses),
+    offsetof(Cfs__Heartbeat, uses),
+    &cfs__team_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspects",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cfs__Heartbeat, n_suspects),
+    offsetof(Cfs__Heartbeat, suspects),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members_hash",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Heartbeat, members_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfs__heartbeat__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -2412,17 +2673,20 @@
   8,   /* field[8] = draining */
   0,   /* field[0] = host */
   11,   /* field[11] = instances */
+  14,   /* field[14] = members_hash */
   3,   /* field[3] = port */
   9,   /* field[9] = released */
   10,   /* field[10] = reports */
   5,   /* field[5] = seq */
+  13,   /* field[13] = suspects */
+  12,   /* field[12] = uses */
   6,   /* field[6] = version */
   1,   /* field[1] = zone */
 };
 static const ProtobufCIntRange cfs__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor cfs__heartbeat__descriptor =
 {
@@ -2432,175 +2696,548 @@
   "Cfs__Heartbeat",
   "cfs",
   sizeof(Cfs__Heartbeat),
-  12,
+  15,
   cfs__heartbeat__field_descriptors,
   cfs__heartbeat__field_indices_by_name,
   1,  cfs__heartbeat__number_ranges,
   (ProtobufCMessageInit) cfs__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfs__version__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cfs__target__field_descriptors[11] =
 {
   {
-    "number",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfs__Version, number),
-    NULL,
+    offsetof(Cfs__Target, id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "patch",
+    "service",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfs__Version, patch),
+    offsetof(Cfs__Target, service),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "who",
+    "address",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfs__Version, who),
+    offsetof(Cfs__Target, address),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "when_ms",
+    "zone",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cfs__Version, when_ms),
-    NULL,
+    offsetof(Cfs__Target, zone),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "request_id",
+    "slots",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cfs__Version, request_id),
+    offsetof(Cfs__Target, slots),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cfs__version__field_indices_by_name[] = {
-  0,   /* field[0] = number */
-  1,   /* field[1] = patch */
-  4,   /* field[4] = request_id */
-  3,   /* field[3] = when_ms */
-  2,   /* field[2] = who */
-};
-static const ProtobufCIntRange cfs__version__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 5 }
-};
-const ProtobufCMessageDescriptor cfs__version__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cfs.Version",
-  "Version",
-  "Cfs__Version",
-  "cfs",
-  sizeof(Cfs__Version),
-  5,
-  cfs__version__field_descriptors,
-  cfs__version__field_indices_by_name,
-  1,  cfs__version__number_ranges,
-  (ProtobufCMessageInit) cfs__version__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor cfs__heartbeat_reply__field_descriptors[11] =
-{
   {
-    "seq",
-    1,
+    "primary",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cfs__HeartbeatReply, seq),
+    offsetof(Cfs__Target, primary),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "granted",
-    2,
+    "draining",
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cfs__HeartbeatReply, granted),
+    offsetof(Cfs__Target, draining),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leader",
-    3,
+    "gone",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cfs__HeartbeatReply, leader),
+    offsetof(Cfs__Target, gone),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "version",
-    4,
+    "born",
+    9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfs__HeartbeatReply, version),
+    offsetof(Cfs__Target, born),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "document",
-    5,
+    "sequence",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cfs__HeartbeatReply, document),
+    offsetof(Cfs__Target, sequence),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "versions",
-    6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cfs__HeartbeatReply, n_versions),
-    offsetof(Cfs__HeartbeatReply, versions),
-    &cfs__version__descriptor,
-    NULL,
-    0,             /* flags */
+    "changed",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Target, changed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfs__target__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  8,   /* field[8] = born */
+  10,   /* field[10] = changed */
+  6,   /* field[6] = draining */
+  7,   /* field[7] = gone */
+  0,   /* field[0] = id */
+  5,   /* field[5] = primary */
+  9,   /* field[9] = sequence */
+  1,   /* field[1] = service */
+  4,   /* field[4] = slots */
+  3,   /* field[3] = zone */
+};
+static const ProtobufCIntRange cfs__target__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor cfs__target__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfs.Target",
+  "Target",
+  "Cfs__Target",
+  "cfs",
+  sizeof(Cfs__Target),
+  11,
+  cfs__target__field_descriptors,
+  cfs__target__field_indices_by_name,
+  1,  cfs__target__number_ranges,
+  (ProtobufCMessageInit) cfs__target__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfs__turn__field_descriptors[5] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Turn, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "open",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Turn, open),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Turn, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Turn, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changed",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Turn, changed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfs__turn__field_indices_by_name[] = {
+  4,   /* field[4] = changed */
+  3,   /* field[3] = fence */
+  1,   /* field[1] = open */
+  0,   /* field[0] = service */
+  2,   /* field[2] = target */
+};
+static const ProtobufCIntRange cfs__turn__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cfs__turn__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfs.Turn",
+  "Turn",
+  "Cfs__Turn",
+  "cfs",
+  sizeof(Cfs__Turn),
+  5,
+  cfs__turn__field_descriptors,
+  cfs__turn__field_indices_by_name,
+  1,  cfs__turn__number_ranges,
+  (ProtobufCMessageInit) cfs__turn__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfs__team_use__field_descriptors[3] =
+{
+  {
+    "team",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__TeamUse, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demand",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__TeamUse, demand),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__TeamUse, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfs__team_use__field_indices_by_name[] = {
+  1,   /* field[1] = demand */
+  2,   /* field[2] = share */
+  0,   /* field[0] = team */
+};
+static const ProtobufCIntRange cfs__team_use__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cfs__team_use__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfs.TeamUse",
+  "TeamUse",
+  "Cfs__TeamUse",
+  "cfs",
+  sizeof(Cfs__TeamUse),
+  3,
+  cfs__team_use__field_descriptors,
+  cfs__team_use__field_indices_by_name,
+  1,  cfs__team_use__number_ranges,
+  (ProtobufCMessageInit) cfs__team_use__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfs__team_share__field_descriptors[2] =
+{
+  {
+    "team",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__TeamShare, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__TeamShare, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfs__team_share__field_indices_by_name[] = {
+  1,   /* field[1] = share */
+  0,   /* field[0] = team */
+};
+static const ProtobufCIntRange cfs__team_share__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cfs__team_share__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfs.TeamShare",
+  "TeamShare",
+  "Cfs__TeamShare",
+  "cfs",
+  sizeof(Cfs__TeamShare),
+  2,
+  cfs__team_share__field_descriptors,
+  cfs__team_share__field_indices_by_name,
+  1,  cfs__team_share__number_ranges,
+  (ProtobufCMessageInit) cfs__team_share__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfs__version__field_descriptors[5] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Version, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "patch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Version, patch),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "who",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Version, who),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "when_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Version, when_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_id",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Version, request_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfs__version__field_indices_by_name[] = {
+  0,   /* field[0] = number */
+  1,   /* field[1] = patch */
+  4,   /* field[4] = request_id */
+  3,   /* field[3] = when_ms */
+  2,   /* field[2] = who */
+};
+static const ProtobufCIntRange cfs__version__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cfs__version__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfs.Version",
+  "Version",
+  "Cfs__Version",
+  "cfs",
+  sizeof(Cfs__Version),
+  5,
+  cfs__version__field_descriptors,
+  cfs__version__field_indices_by_name,
+  1,  cfs__version__number_ranges,
+  (ProtobufCMessageInit) cfs__version__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfs__heartbeat_reply__field_descriptors[18] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__HeartbeatReply, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__HeartbeatReply, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__HeartbeatReply, leader),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__HeartbeatReply, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "document",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__HeartbeatReply, document),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "versions",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__HeartbeatReply, n_versions),
+    offsetof(Cfs__HeartbeatReply, versions),
+    &cfs__version__descriptor,
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
@@ -2663,6 +3300,90 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "targets",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__HeartbeatReply, n_targets),
+    offsetof(Cfs__HeartbeatReply, targets),
+    &cfs__target__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "turns",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__HeartbeatReply, n_turns),
+    offsetof(Cfs__HeartbeatReply, turns),
+    &cfs__turn__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shares",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__HeartbeatReply, n_shares),
+    offsetof(Cfs__HeartbeatReply, shares),
+    &cfs__team_share__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cfs__HeartbeatReply, n_members),
+    offsetof(Cfs__HeartbeatReply, members),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members_hash",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__HeartbeatReply, members_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_at_us",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__HeartbeatReply, sent_at_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_shares",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__HeartbeatReply, has_shares),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfs__heartbeat_reply__field_indices_by_name[] = {
   6,   /* field[6] = assignments */
@@ -2670,17 +3391,24 @@
   4,   /* field[4] = document */
   1,   /* field[1] = granted */
   7,   /* field[7] = groups */
+  17,   /* field[17] = has_shares */
   8,   /* field[8] = instances */
   2,   /* field[2] = leader */
   10,   /* field[10] = lease_until_us */
+  14,   /* field[14] = members */
+  15,   /* field[15] = members_hash */
+  16,   /* field[16] = sent_at_us */
   0,   /* field[0] = seq */
+  13,   /* field[13] = shares */
+  11,   /* field[11] = targets */
+  12,   /* field[12] = turns */
   3,   /* field[3] = version */
   5,   /* field[5] = versions */
 };
 static const ProtobufCIntRange cfs__heartbeat_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor cfs__heartbeat_reply__descriptor =
 {
@@ -2690,7 +3418,7 @@
   "Cfs__HeartbeatReply",
   "cfs",
   sizeof(Cfs__HeartbeatReply),
-  11,
+  18,
   cfs__heartbeat_reply__field_descriptors,
   cfs__heartbeat_reply__field_indices_by_name,
   1,  cfs__heartbeat_reply__number_ranges,
@@ -2966,7 +3694,71 @@
   (ProtobufCMessageInit) cfs__patch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfs__command__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cfs__document__field_descriptors[3] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Document, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Document, body),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "when_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Document, when_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfs__document__field_indices_by_name[] = {
+  1,   /* field[1] = body */
+  0,   /* field[0] = number */
+  2,   /* field[2] = when_ms */
+};
+static const ProtobufCIntRange cfs__document__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cfs__document__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfs.Document",
+  "Document",
+  "Cfs__Document",
+  "cfs",
+  sizeof(Cfs__Document),
+  3,
+  cfs__document__field_descriptors,
+  cfs__document__field_indices_by_name,
+  1,  cfs__document__number_ranges,
+  (ProtobufCMessageInit) cfs__document__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfs__command__field_descriptors[7] =
 {
   {
     "patch",
@@ -3016,17 +3808,56 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "document",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__Command, body_case),
+    offsetof(Cfs__Command, document),
+    &cfs__document__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__Command, body_case),
+    offsetof(Cfs__Command, target),
+    &cfs__target__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "turn",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__Command, body_case),
+    offsetof(Cfs__Command, turn),
+    &cfs__turn__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfs__command__field_indices_by_name[] = {
   1,   /* field[1] = assign */
+  4,   /* field[4] = document */
   3,   /* field[3] = done */
   2,   /* field[2] = grant */
   0,   /* field[0] = patch */
+  5,   /* field[5] = target */
+  6,   /* field[6] = turn */
 };
 static const ProtobufCIntRange cfs__command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cfs__command__descriptor =
 {
@@ -3036,7 +3867,7 @@
   "Cfs__Command",
   "cfs",
   sizeof(Cfs__Command),
-  4,
+  7,
   cfs__command__field_descriptors,
   cfs__command__field_indices_by_name,
   1,  cfs__command__number_ranges,
@@ -3120,7 +3951,7 @@
   (ProtobufCMessageInit) cfs__patch_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfs__snapshot__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cfs__snapshot__field_descriptors[9] =
 {
   {
     "version",
@@ -3206,6 +4037,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "targets",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__Snapshot, n_targets),
+    offsetof(Cfs__Snapshot, targets),
+    &cfs__target__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "turns",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__Snapshot, n_turns),
+    offsetof(Cfs__Snapshot, turns),
+    &cfs__turn__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfs__snapshot__field_indices_by_name[] = {
   3,   /* field[3] = assignments */
@@ -3213,13 +4068,15 @@
   1,   /* field[1] = document */
   4,   /* field[4] = groups */
   5,   /* field[5] = results */
+  7,   /* field[7] = targets */
+  8,   /* field[8] = turns */
   0,   /* field[0] = version */
   2,   /* field[2] = versions */
 };
 static const ProtobufCIntRange cfs__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cfs__snapshot__descriptor =
 {
@@ -3229,7 +4086,7 @@
   "Cfs__Snapshot",
   "cfs",
   sizeof(Cfs__Snapshot),
-  7,
+  9,
   cfs__snapshot__field_descriptors,
   cfs__snapshot__field_indices_by_name,
   1,  cfs__snapshot__number_ranges,
--- a/src/process/wire.pb-c.h
+++ b/src/process/wire.pb-c.h
@@ -26,12 +26,17 @@
 typedef struct Cfs__GroupReport Cfs__GroupReport;
 typedef struct Cfs__Release Cfs__Release;
 typedef struct Cfs__Heartbeat Cfs__Heartbeat;
+typedef struct Cfs__Target Cfs__Target;
+typedef struct Cfs__Turn Cfs__Turn;
+typedef struct Cfs__TeamUse Cfs__TeamUse;
+typedef struct Cfs__TeamShare Cfs__TeamShare;
 typedef struct Cfs__Version Cfs__Version;
 typedef struct Cfs__HeartbeatReply Cfs__HeartbeatReply;
 typedef struct Cfs__AssignBatch Cfs__AssignBatch;
 typedef struct Cfs__TermGrant Cfs__TermGrant;
 typedef struct Cfs__TermDone Cfs__TermDone;
 typedef struct Cfs__Patch Cfs__Patch;
+typedef struct Cfs__Document Cfs__Document;
 typedef struct Cfs__Command Cfs__Command;
 typedef struct Cfs__PatchResult Cfs__PatchResult;
 typedef struct Cfs__Snapshot Cfs__Snapshot;
@@ -221,10 +226,78 @@
   Cfs__GroupReport **reports;
   size_t n_instances;
   Cfs__Instance **instances;
+  size_t n_uses;
+  Cfs__TeamUse **uses;
+  size_t n_suspects;
+  char **suspects;
+  uint64_t members_hash;
 };
 #define CFS__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfs__heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+
+
+/*
+ * An instance of a database group that announced itself by heartbeats.
+ */
+struct  Cfs__Target
+{
+  ProtobufCMessage base;
+  char *id;
+  char *service;
+  char *address;
+  char *zone;
+  uint32_t slots;
+  protobuf_c_boolean primary;
+  protobuf_c_boolean draining;
+  protobuf_c_boolean gone;
+  uint64_t born;
+  uint64_t sequence;
+  uint64_t changed;
+};
+#define CFS__TARGET__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfs__target__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A change of a service's primary, from its opening until it is closed.
+ */
+struct  Cfs__Turn
+{
+  ProtobufCMessage base;
+  char *service;
+  protobuf_c_boolean open;
+  char *target;
+  uint64_t fence;
+  uint64_t changed;
+};
+#define CFS__TURN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfs__turn__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Cfs__TeamUse
+{
+  ProtobufCMessage base;
+  char *team;
+  double demand;
+  double share;
+};
+#define CFS__TEAM_USE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfs__team_use__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Cfs__TeamShare
+{
+  ProtobufCMessage base;
+  char *team;
+  double share;
+};
+#define CFS__TEAM_SHARE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfs__team_share__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Cfs__Version
@@ -259,10 +332,21 @@
   Cfs__Instance **instances;
   uint64_t directory;
   int64_t lease_until_us;
+  size_t n_targets;
+  Cfs__Target **targets;
+  size_t n_turns;
+  Cfs__Turn **turns;
+  size_t n_shares;
+  Cfs__TeamShare **shares;
+  size_t n_members;
+  char **members;
+  uint64_t members_hash;
+  int64_t sent_at_us;
+  protobuf_c_boolean has_shares;
 };
 #define CFS__HEARTBEAT_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfs__heartbeat_reply__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 struct  Cfs__AssignBatch
@@ -315,12 +399,30 @@
     , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * A whole configuration under a number of the operator's choice.
+ */
+struct  Cfs__Document
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  char *body;
+  uint64_t when_ms;
+};
+#define CFS__DOCUMENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfs__document__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0 }
+
+
 typedef enum {
   CFS__COMMAND__BODY__NOT_SET = 0,
   CFS__COMMAND__BODY_PATCH = 1,
   CFS__COMMAND__BODY_ASSIGN = 2,
   CFS__COMMAND__BODY_GRANT = 3,
-  CFS__COMMAND__BODY_DONE = 4
+  CFS__COMMAND__BODY_DONE = 4,
+  CFS__COMMAND__BODY_DOCUMENT = 5,
+  CFS__COMMAND__BODY_TARGET = 6,
+  CFS__COMMAND__BODY_TURN = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFS__COMMAND__BODY__CASE)
 } Cfs__Command__BodyCase;
 
@@ -333,6 +435,9 @@
     Cfs__AssignBatch *assign;
     Cfs__TermGrant *grant;
     Cfs__TermDone *done;
+    Cfs__Document *document;
+    Cfs__Target *target;
+    Cfs__Turn *turn;
   };
 };
 #define CFS__COMMAND__INIT \
@@ -367,10 +472,14 @@
   size_t n_results;
   Cfs__PatchResult **results;
   uint64_t directory;
+  size_t n_targets;
+  Cfs__Target **targets;
+  size_t n_turns;
+  Cfs__Turn **turns;
 };
 #define CFS__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfs__snapshot__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -734,6 +843,82 @@
 void   cfs__heartbeat__free_unpacked
                      (Cfs__Heartbeat *message,
                       ProtobufCAllocator *allocator);
+/* Cfs__Target methods */
+void   cfs__target__init
+                     (Cfs__Target         *message);
+size_t cfs__target__get_packed_size
+                     (const Cfs__Target   *message);
+size_t cfs__target__pack
+                     (const Cfs__Target   *message,
+                      uint8_t             *out);
+size_t cfs__target__pack_to_buffer
+                     (const Cfs__Target   *message,
+                      ProtobufCBuffer     *buffer);
+Cfs__Target *
+       cfs__target__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfs__target__free_unpacked
+                     (Cfs__Target *message,
+                      ProtobufCAllocator *allocator);
+/* Cfs__Turn methods */
+void   cfs__turn__init
+                     (Cfs__Turn         *message);
+size_t cfs__turn__get_packed_size
+                     (const Cfs__Turn   *message);
+size_t cfs__turn__pack
+                     (const Cfs__Turn   *message,
+                      uint8_t             *out);
+size_t cfs__turn__pack_to_buffer
+                     (const Cfs__Turn   *message,
+                      ProtobufCBuffer     *buffer);
+Cfs__Turn *
+       cfs__turn__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfs__turn__free_unpacked
+                     (Cfs__Turn *message,
+                      ProtobufCAllocator *allocator);
+/* Cfs__TeamUse methods */
+void   cfs__team_use__init
+                     (Cfs__TeamUse         *message);
+size_t cfs__team_use__get_packed_size
+                     (const Cfs__TeamUse   *message);
+size_t cfs__team_use__pack
+                     (const Cfs__TeamUse   *message,
+                      uint8_t             *out);
+size_t cfs__team_use__pack_to_buffer
+                     (const Cfs__TeamUse   *message,
+                      ProtobufCBuffer     *buffer);
+Cfs__TeamUse *
+       cfs__team_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfs__team_use__free_unpacked
+                     (Cfs__TeamUse *message,
+                      ProtobufCAllocator *allocator);
+/* Cfs__TeamShare methods */
+void   cfs__team_share__init
+                     (Cfs__TeamShare         *message);
+size_t cfs__team_share__get_packed_size
+                     (const Cfs__TeamShare   *message);
+size_t cfs__team_share__pack
+                     (const Cfs__TeamShare   *message,
+                      uint8_t             *out);
+size_t cfs__team_share__pack_to_buffer
+                     (const Cfs__TeamShare   *message,
+                      ProtobufCBuffer     *buffer);
+Cfs__TeamShare *
+       cfs__team_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfs__team_share__free_unpacked
+                     (Cfs__TeamShare *message,
+                      ProtobufCAllocator *allocator);
 /* Cfs__Version methods */
 void   cfs__version__init
                      (Cfs__Version         *message);
@@ -848,6 +1033,25 @@
 void   cfs__patch__free_unpacked
                      (Cfs__Patch *message,
                       ProtobufCAllocator *allocator);
+/* Cfs__Document methods */
+void   cfs__document__init
+                     (Cfs__Document         *message);
+size_t cfs__document__get_packed_size
+                     (const Cfs__Document   *message);
+size_t cfs__document__pack
+                     (const Cfs__Document   *message,
+                      uint8_t             *out);
+size_t cfs__document__pack_to_buffer
+                     (const Cfs__Document   *message,
+                      ProtobufCBuffer     *buffer);
+Cfs__Document *
+       cfs__document__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfs__document__free_unpacked
+                     (Cfs__Document *message,
+                      ProtobufCAllocator *allocator);
 /* Cfs__Command methods */
 void   cfs__command__init
                      (Cfs__Command         *message);
@@ -1092,6 +1296,18 @@
 typedef void (*Cfs__Heartbeat_Closure)
                  (const Cfs__Heartbeat *message,
                   void *closure_data);
+typedef void (*Cfs__Target_Closure)
+                 (const Cfs__Target *message,
+                  void *closure_data);
+typedef void (*Cfs__Turn_Closure)
+                 (const Cfs__Turn *message,
+                  void *closure_data);
+typedef void (*Cfs__TeamUse_Closure)
+                 (const Cfs__TeamUse *message,
+                  void *closure_data);
+typedef void (*Cfs__TeamShare_Closure)
+                 (const Cfs__TeamShare *message,
+                  void *closure_data);
 typedef void (*Cfs__Version_Closure)
                  (const Cfs__Version *message,
                   void *closure_data);
@@ -1110,6 +1326,9 @@
 typedef void (*Cfs__Patch_Closure)
                  (const Cfs__Patch *message,
                   void *closure_data);
+typedef void (*Cfs__Document_Closure)
+                 (const Cfs__Document *message,
+                  void *closure_data);
 typedef void (*Cfs__Command_Closure)
                  (const Cfs__Command *message,
                   void *closure_data);
@@ -1160,12 +1379,17 @@
 extern const ProtobufCMessageDescriptor cfs__group_report__descriptor;
 extern const ProtobufCMessageDescriptor cfs__release__descriptor;
 extern const ProtobufCMessageDescriptor cfs__heartbeat__descriptor;
+extern const ProtobufCMessageDescriptor cfs__target__descriptor;
+extern const ProtobufCMessageDescriptor cfs__turn__descriptor;
+extern const ProtobufCMessageDescriptor cfs__team_use__descriptor;
+extern const ProtobufCMessageDescriptor cfs__team_share__descriptor;
 extern const ProtobufCMessageDescriptor cfs__version__descriptor;
 extern const ProtobufCMessageDescriptor cfs__heartbeat_reply__descriptor;
 extern const ProtobufCMessageDescriptor cfs__assign_batch__descriptor;
 extern const ProtobufCMessageDescriptor cfs__term_grant__descriptor;
 extern const ProtobufCMessageDescriptor cfs__term_done__descriptor;
 extern const ProtobufCMessageDescriptor cfs__patch__descriptor;
+extern const ProtobufCMessageDescriptor cfs__document__descriptor;
 extern const ProtobufCMessageDescriptor cfs__command__descriptor;
 extern const ProtobufCMessageDescriptor cfs__patch_result__descriptor;
 extern const ProtobufCMessageDescriptor cfs__snapshot__descriptor;
--- /dev/null
+++ b/src/request/quota.c
@@ -0,0 +1,149 @@
+/*
+ * A token bucket a team whose rate is the share.  Leased shares were chosen
+ * over grants on demand because they cost no message a request and outlive
+ * a change of the control leader.
+ */
+#include "quota.h"
+
+#include <string.h>
+
+/* Span over which demand is counted. */
+#define COUNT_US (500 * CFS_US_PER_MS)
+/* Part of the difference by which demand falls each span. */
+#define DEMAND_FALL 0.2
+/* Least depth of a bucket with a share, or no operation would ever pass. */
+#define DEPTH_MIN 1.0
+
+void
+cfs_quota_init (struct cfs_quota *q)
+{
+  cfs_table_init (&q->rows, sizeof (struct cfs_quota_row));
+  q->until = 0;
+}
+
+void
+cfs_quota_end (struct cfs_quota *q)
+{
+  cfs_table_end (&q->rows);
+}
+
+static void
+refill (struct cfs_quota_row *r, int64_t now)
+{
+  if (now > r->filled_at)
+    r->level += r->share * (double)(now - r->filled_at) / CFS_US_PER_S;
+  r->filled_at = now;
+  if (r->level > r->depth)
+    r->level = r->depth;
+}
+
+static double
+find_share (Cfs__TeamShare *const *shares, size_t count, const char *team)
+{
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (shares[i]->team, team) == 0)
+      return shares[i]->share;
+  return 0;
+}
+
+static void
+set_share (struct cfs_quota_row *r, double share,
+           const struct cfs_member_team *team, int64_t now)
+{
+  bool first = r->share <= 0;
+
+  refill (r, now);
+  r->share = 0;
+  r->depth = 0;
+  if (team && team->rate > 0 && share > 0)
+    {
+      r->share = share;
+      r->depth = team->burst * r->share / team->rate;
+      if (r->depth < DEPTH_MIN)
+        r->depth = DEPTH_MIN;
+    }
+  if (first && r->share > 0)
+    r->level = DEPTH_MIN;
+  refill (r, now);
+}
+
+void
+cfs_quota_update (struct cfs_quota *q, Cfs__TeamShare *const *shares,
+                  size_t count, const struct cfs_catalog *catalog,
+                  int64_t until, int64_t now)
+{
+  for (size_t i = 0; i < count; i++)
+    cfs_table_add (&q->rows, shares[i]->team);
+  for (size_t i = 0; i < q->rows.count; i++)
+    {
+      struct cfs_quota_row *r = cfs_table_at (&q->rows, i);
+
+      set_share (r, find_share (shares, count, r->team),
+                 cfs_catalog_team (catalog, r->team), now);
+    }
+  cfs_quota_renew (q, until);
+}
+
+void
+cfs_quota_renew (struct cfs_quota *q, int64_t until)
+{
+  if (until > q->until)
+    q->until = until;
+}
+
+/* Closes spans that are over. */
+static void
+count_spans (struct cfs_quota_row *r, int64_t now)
+{
+  double rate;
+
+  if (now - r->counted_at < COUNT_US)
+    return;
+  rate = r->asked * CFS_US_PER_S / (double)(now - r->counted_at);
+  if (rate >= r->demand)
+    r->demand = rate;
+  else
+    r->demand += (rate - r->demand) * DEMAND_FALL;
+  r->asked = 0;
+  r->counted_at = now;
+}
+
+void
+cfs_quota_ask (struct cfs_quota *q, const char *team, int64_t now)
+{
+  struct cfs_quota_row *r = cfs_table_add (&q->rows, team);
+
+  if (!r->counted_at)
+    r->counted_at = now - COUNT_US / 2;
+  count_spans (r, now);
+  r->asked++;
+}
+
+bool
+cfs_quota_take (struct cfs_quota *q, const char *team, int64_t now,
+                int64_t *wait_us)
+{
+  struct cfs_quota_row *r = cfs_table_add (&q->rows, team);
+
+  *wait_us = CFS_NEVER;
+  if (now >= q->until || r->share <= 0)
+    return false;
+  refill (r, now);
+  if (r->level < 1)
+    {
+      *wait_us = (int64_t)((1 - r->level) / r->share * CFS_US_PER_S) + 1;
+      return false;
+    }
+  r->level -= 1;
+  r->granted++;
+  return true;
+}
+
+double
+cfs_quota_demand (const struct cfs_quota_row *row, int64_t now)
+{
+  struct cfs_quota_row r = *row;
+
+  count_spans (&r, now);
+  return r.demand;
+}
--- a/tests/fleet.sh
+++ b/tests/fleet.sh
@@ -38,7 +38,7 @@
 }
 
 fleet_start() {
-  "$BIN" serve -s "$RUN/$1.json" 2>> "$RUN/$1.log" &
+  "$BIN" serve -s "$RUN/$1.json" >> "$RUN/$1.log" 2>&1 &
   PID[$1]=$!
 }
 
