Tokens beside leased shares; open routes take none

Change: half of a rate is shares, half fills a bucket from which single tokens are asked for; an ask that is not granted in full refuses what waits.

--- a/src/connection/pool.c
+++ b/src/connection/pool.c
@@ -38,6 +38,8 @@
 #define EXPECTED_FAR_US (50 * CFS_US_PER_MS)
 /* Time without use after which the average is forgotten. */
 #define FORGET_US (2 * CFS_US_PER_S)
+/* Named to instances where callers need no key. */
+#define OPEN_TEAM "public"
 /* Weight of a new sample in the average, as a divisor. */
 #define AVERAGE_DIVISOR 8
 
@@ -357,7 +359,7 @@
   struct cfs_link *l = cfs_alloc (sizeof *l);
   struct cfs_wire_setup setup = { .address = t->address,
                                   .service = t->service,
-                                  .team = team,
+                                  .team = *team ? team : OPEN_TEAM,
                                   .target = t->id,
                                   .events = &wire_events,
                                   .owner = l };
--- a/src/connection/sample.c
+++ b/src/connection/sample.c
@@ -202,7 +202,7 @@
   const char *idle;
   bool opening;
 
-  if (r->link || now < r->pause_until || !primary || !*r->team)
+  if (r->link || now < r->pause_until || !primary)
     return;
   idle = cfs_pool_any_team (r->owner->pool, primary->id);
   r->asked_at = now;
--- a/src/connection/session.c
+++ b/src/connection/session.c
@@ -80,7 +80,7 @@
   s->route = *route;
   cfs_copy (s->service, sizeof s->service,
             f->catalog->services[route->service].name);
-  cfs_copy (s->team, sizeof s->team, team ? team->name : "public");
+  cfs_copy (s->team, sizeof s->team, team ? team->name : "");
   *code = REPLY_OK;
   return true;
 }
@@ -139,9 +139,18 @@
   return s;
 }
 
+void
+session_wait (struct cfs_session *s, bool waits)
+{
+  if (s->op.waits != waits)
+    cfs_quota_wait (s->owner->setup.quota, s->team, waits);
+  s->op.waits = waits;
+}
+
 static void
 clear_op (struct cfs_session *s)
 {
+  session_wait (s, false);
   for (size_t i = 0; i < 3; i++)
     g_free (s->op.texts[i]);
   memset (&s->op, 0, sizeof s->op);
@@ -336,7 +345,8 @@
   s->read_only = s->op.statement.verb == VERB_BEGIN_READ;
   s->wrote = false;
   s->answered = false;
-  cfs_quota_ask (s->owner->setup.quota, s->team, now);
+  if (*s->team)
+    cfs_quota_ask (s->owner->setup.quota, s->team, now);
   start_op (s, OP_TOKEN, now);
 }
 
@@ -363,7 +373,8 @@
       session_reply (s, code, "the session may not go on");
       return;
     }
-  cfs_quota_ask (s->owner->setup.quota, s->team, now);
+  if (*s->team)
+    cfs_quota_ask (s->owner->setup.quota, s->team, now);
   start_op (s, OP_TOKEN, now);
 }
 
--- a/src/connection/session_int.h
+++ b/src/connection/session_int.h
@@ -38,6 +38,7 @@
  * @deadline: when it is given up
  * @retry_at: not before this time
  * @setup_due: replies due before the statement itself is sent
+ * @waits: counted as waiting for a token
  * @opens: the last of them opens a transaction
  * @need: position that the instance's log must hold
  */
@@ -55,6 +56,7 @@
   unsigned setup_due;
   bool opens;
   bool writes;
+  bool waits;
   int64_t opened_at;
   struct cfs_position need;
   char tried[TRIED_MAX][CFS_NAME_MAX];
@@ -142,6 +144,9 @@
 /** session_abandon() - gives the link up; what is open on it rolls back */
 void session_abandon (struct cfs_session *session, int64_t now);
 
+/** session_wait() - the statement in hand waits for a token, or no longer */
+void session_wait (struct cfs_session *session, bool waits);
+
 /** session_allowed() - whether route and key hold; else why not */
 bool session_allowed (struct cfs_session *session, int64_t now,
                       enum cfs_reply_code *code);
--- a/src/connection/session_run.c
+++ b/src/connection/session_run.c
@@ -20,7 +20,7 @@
 #define PART "run"
 /* Pauses before a statement is tried again. */
 #define NO_TARGET_PAUSE_US (10 * CFS_US_PER_MS)
-#define TOKEN_PAUSE_US (20 * CFS_US_PER_MS)
+#define TOKEN_PAUSE_US (5 * CFS_US_PER_MS)
 #define BUSY_PAUSE_US (15 * CFS_US_PER_MS)
 /* Bound of statements that prepare a link. */
 #define SETUP_MAX 64
@@ -356,13 +356,20 @@
 static void
 run_token (struct cfs_session *s, int64_t now)
 {
-  int64_t wait;
+  int64_t wait = 0;
 
-  if (!cfs_quota_take (s->owner->setup.quota, s->team, now, &wait))
+  if (*s->team && !cfs_quota_take (s->owner->setup.quota, s->team, now, &wait))
     {
+      if (cfs_quota_denied (s->owner->setup.quota, s->team, s->op.arrived))
+        {
+          refuse (s, now);
+          return;
+        }
+      session_wait (s, true);
       s->op.retry_at = now + (wait < TOKEN_PAUSE_US ? wait : TOKEN_PAUSE_US);
       return;
     }
+  session_wait (s, false);
   if (s->op.statement.verb != VERB_BEGIN
       && s->op.statement.verb != VERB_BEGIN_READ)
     {
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -322,6 +322,8 @@
     take_reply (a, msg->reply, cfs_now ());
   else if (msg->body_case == CFS__PEER__BODY_CALLED)
     take_called (a, msg->called);
+  else if (msg->body_case == CFS__PEER__BODY_TOKENS_GRANT)
+    a->ops->tokens (a->ctx, msg->tokens_grant);
 }
 
 struct cfs_agent *
@@ -400,6 +402,12 @@
   c->sent_at = 0;
 }
 
+void
+cfs_agent_ask (struct cfs_agent *a, const Cfs__Peer *ask)
+{
+  send_to_leader (a, ask);
+}
+
 /* A patch is answered only once it is in force, others at once. */
 static int64_t
 call_patience (const struct call *c)
--- a/src/process/agent.h
+++ b/src/process/agent.h
@@ -18,11 +18,13 @@
  * struct cfs_agent_ops - events for the traffic thread
  * @renewed: the lease and what changed; the document is whole when set
  * @called: answer to a call
+ * @tokens: answer to an ask for tokens
  */
 struct cfs_agent_ops
 {
   void (*renewed) (void *ctx, Cfs__HeartbeatReply *reply);
   void (*called) (void *ctx, Cfs__OperatorReply *reply);
+  void (*tokens) (void *ctx, Cfs__TokensGrant *grant);
 };
 
 struct cfs_agent;
@@ -54,6 +56,9 @@
 /** cfs_agent_call() - forwards a call; @call passes to the agent */
 void cfs_agent_call (struct cfs_agent *agent, Cfs__Peer *call, int64_t now);
 
+/** cfs_agent_ask() - asks the leader for tokens; the ask may be lost */
+void cfs_agent_ask (struct cfs_agent *agent, const Cfs__Peer *ask);
+
 /** cfs_agent_tick() - timers; at least every 20 ms */
 void cfs_agent_tick (struct cfs_agent *agent, int64_t now);
 
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -421,6 +421,20 @@
   cfs_net_reply (c->net, from, &out);
 }
 
+static void
+take_ask (struct cfs_control *c, const struct cfs_origin *from,
+          const Cfs__TokensAsk *ask, int64_t now)
+{
+  Cfs__Peer out = CFS__PEER__INIT;
+
+  if (!cfs_raft_ready (c->raft, now))
+    return;
+  out.body_case = CFS__PEER__BODY_TOKENS_GRANT;
+  out.tokens_grant
+      = (Cfs__TokensGrant *)cfs_leader_tokens (c->leader, ask, now);
+  cfs_net_reply (c->net, from, &out);
+}
+
 static void
 receive (void *ctx, const struct cfs_origin *from, const Cfs__Peer *msg)
 {
@@ -433,6 +447,8 @@
     take_heartbeat (c, from, msg->heartbeat, now);
   else if (msg->body_case == CFS__PEER__BODY_CALL && from)
     take_call (c, from, msg->call, now);
+  else if (msg->body_case == CFS__PEER__BODY_TOKENS_ASK && from)
+    take_ask (c, from, msg->tokens_ask, now);
 }
 
 uint64_t
--- a/src/process/front.c
+++ b/src/process/front.c
@@ -27,6 +27,8 @@
 #define USES_US (900 * CFS_US_PER_MS)
 /* The same while a team has demand here and no share. */
 #define USES_URGENT_US (100 * CFS_US_PER_MS)
+/* Teams in one ask for tokens. */
+#define ASK_TEAMS_MAX 64
 /* Stages of a planned stop, in parts of the stop time. */
 #define CLOSE_RESTING_PART 0.17
 #define REFUSE_NEW_PART 0.42
@@ -135,6 +137,14 @@
     cfs_quota_renew (&f->quota, r->lease_until_us);
 }
 
+static void
+take_tokens (struct cfs_front *f, const Cfs__TokensGrant *g)
+{
+  for (size_t i = 0; i < g->n_teams; i++)
+    cfs_quota_granted (&f->quota, g->teams[i]->team, g->teams[i]->count,
+                       g->sent_at_us);
+}
+
 static void
 pump_pair (struct cfs_front *f)
 {
@@ -144,6 +154,8 @@
     {
       if (msg->body_case == CFS__PEER__BODY_REPLY)
         take_reply (f, msg->reply);
+      else if (msg->body_case == CFS__PEER__BODY_TOKENS_GRANT)
+        take_tokens (f, msg->tokens_grant);
       cfs__peer__free_unpacked (msg, NULL);
     }
 }
@@ -194,6 +206,39 @@
   free (rows);
 }
 
+/* Asks for tokens where operations wait for them. */
+static void
+send_ask (struct cfs_front *f, int64_t now)
+{
+  Cfs__Peer out = CFS__PEER__INIT;
+  Cfs__TokensAsk ask = CFS__TOKENS_ASK__INIT;
+  Cfs__TeamTokens rows[ASK_TEAMS_MAX];
+  Cfs__TeamTokens *list[ASK_TEAMS_MAX];
+
+  for (size_t i = 0; i < f->quota.rows.count && ask.n_teams < ASK_TEAMS_MAX;
+       i++)
+    {
+      struct cfs_quota_row *r = cfs_table_at (&f->quota.rows, i);
+      uint32_t count = r->waiting ? cfs_quota_wanted (r, now) : 0;
+      Cfs__TeamTokens *row = &rows[ask.n_teams];
+
+      if (!count)
+        continue;
+      cfs__team_tokens__init (row);
+      row->team = r->team;
+      row->count = count;
+      list[ask.n_teams++] = row;
+    }
+  if (!ask.n_teams)
+    return;
+  ask.host = (char *)f->settings->host;
+  ask.sent_at_us = now;
+  ask.teams = list;
+  out.body_case = CFS__PEER__BODY_TOKENS_ASK;
+  out.tokens_ask = &ask;
+  cfs_pair_send (f->pair, &out);
+}
+
 static void
 log_ready (struct cfs_front *f)
 {
@@ -220,6 +265,7 @@
   cfs_pool_tick (f->pool, now);
   cfs_sessions_tick (f->sessions, now);
   send_uses (f, now);
+  send_ask (f, now);
   log_ready (f);
 }
 
--- a/src/process/leader.h
+++ b/src/process/leader.h
@@ -136,6 +136,15 @@
 void cfs_leader_set_members (struct cfs_leader *leader,
                              const struct cfs_members *members);
 
+/**
+ * cfs_leader_tokens() - grants tokens beyond the shares
+ *
+ * Return: the grant, owned by the leader until the next call.
+ */
+const Cfs__TokensGrant *cfs_leader_tokens (struct cfs_leader *leader,
+                                           const Cfs__TokensAsk *ask,
+                                           int64_t now);
+
 /** cfs_leader_catalog() - the version in force, NULL before the first */
 const struct cfs_catalog *cfs_leader_catalog (const struct cfs_leader *leader);
 
--- a/src/process/leader_int.h
+++ b/src/process/leader_int.h
@@ -44,6 +44,10 @@
   Cfs__TeamShare **share_list;
   size_t share_cap;
   char *members[RAFT_MEMBERS_MAX];
+  Cfs__TokensGrant tokens;
+  Cfs__TeamTokens *teams;
+  Cfs__TeamTokens **team_list;
+  size_t team_cap;
 };
 
 struct cfs_leader
--- a/src/process/leader_reply.c
+++ b/src/process/leader_reply.c
@@ -219,6 +219,35 @@
   rows->msg.shares = rows->share_list;
 }
 
+const Cfs__TokensGrant *
+cfs_leader_tokens (struct cfs_leader *l, const Cfs__TokensAsk *ask,
+                   int64_t now)
+{
+  struct reply_rows *rows = &l->rows;
+
+  cfs__tokens_grant__init (&rows->tokens);
+  rows->tokens.sent_at_us = ask->sent_at_us;
+  reserve (&rows->teams, &rows->team_list, &rows->team_cap, ask->n_teams,
+           sizeof *rows->teams);
+  for (size_t i = 0; i < ask->n_teams; i++)
+    {
+      const Cfs__TeamTokens *in = ask->teams[i];
+      const struct cfs_member_team *team
+          = l->catalog ? cfs_catalog_team (l->catalog, in->team) : NULL;
+      Cfs__TeamTokens *out = &rows->teams[i];
+
+      cfs__team_tokens__init (out);
+      out->team = in->team;
+      if (team)
+        out->count = cfs_shares_grant (&l->shares, team->name, team->rate,
+                                       team->burst, in->count, now);
+      rows->team_list[i] = out;
+    }
+  rows->tokens.teams = rows->team_list;
+  rows->tokens.n_teams = ask->n_teams;
+  return &rows->tokens;
+}
+
 uint64_t
 leader_members_hash (const struct cfs_members *m)
 {
@@ -265,4 +294,6 @@
   free (l->rows.turn_list);
   free (l->rows.shares);
   free (l->rows.share_list);
+  free (l->rows.teams);
+  free (l->rows.team_list);
 }
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -67,7 +67,18 @@
   cfs_pair_send (((struct node *)ctx)->pair, &out);
 }
 
-static const struct cfs_agent_ops agent_ops = { on_renewed, on_called };
+static void
+on_tokens (void *ctx, Cfs__TokensGrant *grant)
+{
+  Cfs__Peer out = CFS__PEER__INIT;
+
+  out.body_case = CFS__PEER__BODY_TOKENS_GRANT;
+  out.tokens_grant = grant;
+  cfs_pair_send (((struct node *)ctx)->pair, &out);
+}
+
+static const struct cfs_agent_ops agent_ops
+    = { on_renewed, on_called, on_tokens };
 
 static void
 pump_pair (struct node *n)
@@ -79,6 +90,11 @@
       cfs_agent_report (n->agent, peer);
     else if (peer->body_case == CFS__PEER__BODY_CALL)
       cfs_agent_call (n->agent, peer, cfs_now ());
+    else if (peer->body_case == CFS__PEER__BODY_TOKENS_ASK)
+      {
+        cfs_agent_ask (n->agent, peer);
+        cfs__peer__free_unpacked (peer, NULL);
+      }
     else
       cfs__peer__free_unpacked (peer, NULL);
 }
--- a/src/process/shares.c
+++ b/src/process/shares.c
@@ -9,8 +9,9 @@
 #include <math.h>
 #include <string.h>
 
-/* Part of the rate that is given out; the rest covers drift of clocks. */
-#define GIVEN 0.98
+/* Part of the rate that fills the bucket; what is left besides the shares
+   covers drift of clocks. */
+#define BUCKET_PART 0.48
 /* Share asked for beyond the demand, so that bursts pass. */
 #define HEADROOM 1.5
 /* Base of every host as a part of the rate. */
@@ -31,6 +32,8 @@
 {
   char team[CFS_NAME_MAX];
   struct cfs_table hosts;
+  double level;
+  int64_t filled_at;
 };
 
 void
@@ -111,8 +114,8 @@
       if (h != mine)
         others += out (h, now);
     }
-  share = wanted > 0 ? rate * GIVEN * mine->want / wanted : 0;
-  room = fmax (rate * GIVEN - others, 0);
+  share = wanted > 0 ? rate * SHARE_PART * mine->want / wanted : 0;
+  room = fmax (rate * SHARE_PART - others, 0);
   if (now < s->grace_end)
     room = fmin (room, held);
   if (fabs (share - held) < CHANGE_MIN * held)
@@ -122,6 +125,38 @@
   return mine->given;
 }
 
+/* Tokens that the bucket holds at most: the burst without what the buckets
+   of the shares hold, and without what is granted and not yet used. */
+static double
+bucket_depth (const struct team_row *t, double rate, double burst)
+{
+  double depth = burst * (1 - SHARE_PART);
+  double excess = (double)t->hosts.count - burst * SHARE_PART;
+
+  if (excess > 0)
+    depth -= excess;
+  depth -= rate * BUCKET_PART * (double)TOKEN_LIFE_US / CFS_US_PER_S;
+  return fmax (depth, 1);
+}
+
+uint32_t
+cfs_shares_grant (struct cfs_shares *s, const char *team, double rate,
+                  double burst, uint32_t count, int64_t now)
+{
+  struct team_row *t = row_of (s, team);
+  double depth = bucket_depth (t, rate, burst);
+  uint32_t granted;
+
+  if (t->filled_at && now > t->filled_at)
+    t->level
+        += rate * BUCKET_PART * (double)(now - t->filled_at) / CFS_US_PER_S;
+  t->filled_at = now;
+  t->level = fmin (t->level, depth);
+  granted = t->level < count ? (uint32_t)t->level : count;
+  t->level -= granted;
+  return granted;
+}
+
 void
 cfs_shares_renew (struct cfs_shares *s, const char *host, int64_t until)
 {
--- a/src/process/shares.h
+++ b/src/process/shares.h
@@ -1,16 +1,24 @@
 /**
  * DOC: Division of the teams' rates between hosts, by the control leader.
  *
- * Each host gets a part of a team's rate for the time of a lease, in
- * proportion to the demand that it reports.  What a host may still hold is
- * counted until it confirmed a smaller share or its lease ran out, so all
- * shares together never exceed the rate.  No I/O and no clock.
+ * Half of a rate is given out as shares: each host gets a part for the time
+ * of a lease, in proportion to the demand that it reports.  What a host may
+ * still hold is counted until it confirmed a smaller share or its lease ran
+ * out.  The other half fills one bucket, from which single tokens go to
+ * hosts where operations wait.  All together never exceed rate and burst.
+ * No I/O and no clock.
  */
 #ifndef CFS_SHARES_H
 #define CFS_SHARES_H
 
 #include "table.h"
 
+/* A token that was granted is void after this time. */
+#define TOKEN_LIFE_US (250 * CFS_US_PER_MS)
+/* Part of the burst that belongs to the shares; so much of it each share
+   gets as its part of the rate. */
+#define SHARE_PART 0.5
+
 /** struct cfs_shares - one table of hosts a team */
 struct cfs_shares
 {
@@ -43,6 +51,17 @@
                           double rate, const char *host, double demand,
                           double held, int64_t now, int64_t until);
 
+/**
+ * cfs_shares_grant() - takes tokens out of a team's bucket
+ * @burst: burst of the team
+ * @count: tokens asked for
+ *
+ * Return: how many are granted.
+ */
+uint32_t cfs_shares_grant (struct cfs_shares *shares, const char *team,
+                           double rate, double burst, uint32_t count,
+                           int64_t now);
+
 /** cfs_shares_renew() - the shares of a host stay out until later */
 void cfs_shares_renew (struct cfs_shares *shares, const char *host,
                        int64_t until);
--- a/src/process/wire.pb-c.c
+++ b/src/process/wire.pb-c.c
@@ -592,6 +592,141 @@
   assert(message->base.descriptor == &cfs__turn__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfs__team_tokens__init
+                     (Cfs__TeamTokens         *message)
+{
+  static const Cfs__TeamTokens init_value = CFS__TEAM_TOKENS__INIT;
+  *message = init_value;
+}
+size_t cfs__team_tokens__get_packed_size
+                     (const Cfs__TeamTokens *message)
+{
+  assert(message->base.descriptor == &cfs__team_tokens__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfs__team_tokens__pack
+                     (const Cfs__TeamTokens *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfs__team_tokens__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfs__team_tokens__pack_to_buffer
+                     (const Cfs__TeamTokens *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfs__team_tokens__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfs__TeamTokens *
+       cfs__team_tokens__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfs__TeamTokens *)
+     protobuf_c_message_unpack (&cfs__team_tokens__descriptor,
+                                allocator, len, data);
+}
+void   cfs__team_tokens__free_unpacked
+                     (Cfs__TeamTokens *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfs__team_tokens__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfs__tokens_ask__init
+                     (Cfs__TokensAsk         *message)
+{
+  static const Cfs__TokensAsk init_value = CFS__TOKENS_ASK__INIT;
+  *message = init_value;
+}
+size_t cfs__tokens_ask__get_packed_size
+                     (const Cfs__TokensAsk *message)
+{
+  assert(message->base.descriptor == &cfs__tokens_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfs__tokens_ask__pack
+                     (const Cfs__TokensAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfs__tokens_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfs__tokens_ask__pack_to_buffer
+                     (const Cfs__TokensAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfs__tokens_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfs__TokensAsk *
+       cfs__tokens_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfs__TokensAsk *)
+     protobuf_c_message_unpack (&cfs__tokens_ask__descriptor,
+                                allocator, len, data);
+}
+void   cfs__tokens_ask__free_unpacked
+                     (Cfs__TokensAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfs__tokens_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cfs__tokens_grant__init
+                     (Cfs__TokensGrant         *message)
+{
+  static const Cfs__TokensGrant init_value = CFS__TOKENS_GRANT__INIT;
+  *message = init_value;
+}
+size_t cfs__tokens_grant__get_packed_size
+                     (const Cfs__TokensGrant *message)
+{
+  assert(message->base.descriptor == &cfs__tokens_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfs__tokens_grant__pack
+                     (const Cfs__TokensGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfs__tokens_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfs__tokens_grant__pack_to_buffer
+                     (const Cfs__TokensGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfs__tokens_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfs__TokensGrant *
+       cfs__tokens_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfs__TokensGrant *)
+     protobuf_c_message_unpack (&cfs__tokens_grant__descriptor,
+                                allocator, len, data);
+}
+void   cfs__tokens_grant__free_unpacked
+                     (Cfs__TokensGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfs__tokens_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfs__team_use__init
                      (Cfs__TeamUse         *message)
 {
@@ -2961,6 +3096,172 @@
   (ProtobufCMessageInit) cfs__turn__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cfs__team_tokens__field_descriptors[2] =
+{
+  {
+    "team",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__TeamTokens, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__TeamTokens, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfs__team_tokens__field_indices_by_name[] = {
+  1,   /* field[1] = count */
+  0,   /* field[0] = team */
+};
+static const ProtobufCIntRange cfs__team_tokens__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cfs__team_tokens__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfs.TeamTokens",
+  "TeamTokens",
+  "Cfs__TeamTokens",
+  "cfs",
+  sizeof(Cfs__TeamTokens),
+  2,
+  cfs__team_tokens__field_descriptors,
+  cfs__team_tokens__field_indices_by_name,
+  1,  cfs__team_tokens__number_ranges,
+  (ProtobufCMessageInit) cfs__team_tokens__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfs__tokens_ask__field_descriptors[3] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__TokensAsk, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_at_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__TokensAsk, sent_at_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "teams",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__TokensAsk, n_teams),
+    offsetof(Cfs__TokensAsk, teams),
+    &cfs__team_tokens__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfs__tokens_ask__field_indices_by_name[] = {
+  0,   /* field[0] = host */
+  1,   /* field[1] = sent_at_us */
+  2,   /* field[2] = teams */
+};
+static const ProtobufCIntRange cfs__tokens_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cfs__tokens_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfs.TokensAsk",
+  "TokensAsk",
+  "Cfs__TokensAsk",
+  "cfs",
+  sizeof(Cfs__TokensAsk),
+  3,
+  cfs__tokens_ask__field_descriptors,
+  cfs__tokens_ask__field_indices_by_name,
+  1,  cfs__tokens_ask__number_ranges,
+  (ProtobufCMessageInit) cfs__tokens_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfs__tokens_grant__field_descriptors[2] =
+{
+  {
+    "sent_at_us",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__TokensGrant, sent_at_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "teams",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__TokensGrant, n_teams),
+    offsetof(Cfs__TokensGrant, teams),
+    &cfs__team_tokens__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfs__tokens_grant__field_indices_by_name[] = {
+  0,   /* field[0] = sent_at_us */
+  1,   /* field[1] = teams */
+};
+static const ProtobufCIntRange cfs__tokens_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cfs__tokens_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfs.TokensGrant",
+  "TokensGrant",
+  "Cfs__TokensGrant",
+  "cfs",
+  sizeof(Cfs__TokensGrant),
+  2,
+  cfs__tokens_grant__field_descriptors,
+  cfs__tokens_grant__field_indices_by_name,
+  1,  cfs__tokens_grant__number_ranges,
+  (ProtobufCMessageInit) cfs__tokens_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cfs__team_use__field_descriptors[3] =
 {
   {
@@ -4853,7 +5154,7 @@
   (ProtobufCMessageInit) cfs__token_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfs__peer__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cfs__peer__field_descriptors[12] =
 {
   {
     "raft",
@@ -4975,6 +5276,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tokens_ask",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__Peer, body_case),
+    offsetof(Cfs__Peer, tokens_ask),
+    &cfs__tokens_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens_grant",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__Peer, body_case),
+    offsetof(Cfs__Peer, tokens_grant),
+    &cfs__tokens_grant__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfs__peer__field_indices_by_name[] = {
   9,   /* field[9] = announce */
@@ -4987,11 +5312,13 @@
   1,   /* field[1] = heartbeat */
   0,   /* field[0] = raft */
   2,   /* field[2] = reply */
+  10,   /* field[10] = tokens_ask */
+  11,   /* field[11] = tokens_grant */
 };
 static const ProtobufCIntRange cfs__peer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor cfs__peer__descriptor =
 {
@@ -5001,7 +5328,7 @@
   "Cfs__Peer",
   "cfs",
   sizeof(Cfs__Peer),
-  10,
+  12,
   cfs__peer__field_descriptors,
   cfs__peer__field_indices_by_name,
   1,  cfs__peer__number_ranges,
--- a/src/process/wire.pb-c.h
+++ b/src/process/wire.pb-c.h
@@ -28,6 +28,9 @@
 typedef struct Cfs__Heartbeat Cfs__Heartbeat;
 typedef struct Cfs__Target Cfs__Target;
 typedef struct Cfs__Turn Cfs__Turn;
+typedef struct Cfs__TeamTokens Cfs__TeamTokens;
+typedef struct Cfs__TokensAsk Cfs__TokensAsk;
+typedef struct Cfs__TokensGrant Cfs__TokensGrant;
 typedef struct Cfs__TeamUse Cfs__TeamUse;
 typedef struct Cfs__TeamShare Cfs__TeamShare;
 typedef struct Cfs__Version Cfs__Version;
@@ -277,6 +280,45 @@
     , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * Tokens beyond a host's shares, asked for where operations wait for them.
+ */
+struct  Cfs__TeamTokens
+{
+  ProtobufCMessage base;
+  char *team;
+  uint32_t count;
+};
+#define CFS__TEAM_TOKENS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfs__team_tokens__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Cfs__TokensAsk
+{
+  ProtobufCMessage base;
+  char *host;
+  int64_t sent_at_us;
+  size_t n_teams;
+  Cfs__TeamTokens **teams;
+};
+#define CFS__TOKENS_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfs__tokens_ask__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
+struct  Cfs__TokensGrant
+{
+  ProtobufCMessage base;
+  int64_t sent_at_us;
+  size_t n_teams;
+  Cfs__TeamTokens **teams;
+};
+#define CFS__TOKENS_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfs__tokens_grant__descriptor) \
+    , 0, 0,NULL }
+
+
 struct  Cfs__TeamUse
 {
   ProtobufCMessage base;
@@ -608,7 +650,9 @@
   CFS__PEER__BODY_ANSWER = 7,
   CFS__PEER__BODY_ASK = 8,
   CFS__PEER__BODY_GRANT = 9,
-  CFS__PEER__BODY_ANNOUNCE = 10
+  CFS__PEER__BODY_ANNOUNCE = 10,
+  CFS__PEER__BODY_TOKENS_ASK = 11,
+  CFS__PEER__BODY_TOKENS_GRANT = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFS__PEER__BODY__CASE)
 } Cfs__Peer__BodyCase;
 
@@ -627,6 +671,8 @@
     Cfs__TokenAsk *ask;
     Cfs__TokenGrant *grant;
     Cfs__Instance *announce;
+    Cfs__TokensAsk *tokens_ask;
+    Cfs__TokensGrant *tokens_grant;
   };
 };
 #define CFS__PEER__INIT \
@@ -881,6 +927,63 @@
 void   cfs__turn__free_unpacked
                      (Cfs__Turn *message,
                       ProtobufCAllocator *allocator);
+/* Cfs__TeamTokens methods */
+void   cfs__team_tokens__init
+                     (Cfs__TeamTokens         *message);
+size_t cfs__team_tokens__get_packed_size
+                     (const Cfs__TeamTokens   *message);
+size_t cfs__team_tokens__pack
+                     (const Cfs__TeamTokens   *message,
+                      uint8_t             *out);
+size_t cfs__team_tokens__pack_to_buffer
+                     (const Cfs__TeamTokens   *message,
+                      ProtobufCBuffer     *buffer);
+Cfs__TeamTokens *
+       cfs__team_tokens__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfs__team_tokens__free_unpacked
+                     (Cfs__TeamTokens *message,
+                      ProtobufCAllocator *allocator);
+/* Cfs__TokensAsk methods */
+void   cfs__tokens_ask__init
+                     (Cfs__TokensAsk         *message);
+size_t cfs__tokens_ask__get_packed_size
+                     (const Cfs__TokensAsk   *message);
+size_t cfs__tokens_ask__pack
+                     (const Cfs__TokensAsk   *message,
+                      uint8_t             *out);
+size_t cfs__tokens_ask__pack_to_buffer
+                     (const Cfs__TokensAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Cfs__TokensAsk *
+       cfs__tokens_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfs__tokens_ask__free_unpacked
+                     (Cfs__TokensAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Cfs__TokensGrant methods */
+void   cfs__tokens_grant__init
+                     (Cfs__TokensGrant         *message);
+size_t cfs__tokens_grant__get_packed_size
+                     (const Cfs__TokensGrant   *message);
+size_t cfs__tokens_grant__pack
+                     (const Cfs__TokensGrant   *message,
+                      uint8_t             *out);
+size_t cfs__tokens_grant__pack_to_buffer
+                     (const Cfs__TokensGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Cfs__TokensGrant *
+       cfs__tokens_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfs__tokens_grant__free_unpacked
+                     (Cfs__TokensGrant *message,
+                      ProtobufCAllocator *allocator);
 /* Cfs__TeamUse methods */
 void   cfs__team_use__init
                      (Cfs__TeamUse         *message);
@@ -1302,6 +1405,15 @@
 typedef void (*Cfs__Turn_Closure)
                  (const Cfs__Turn *message,
                   void *closure_data);
+typedef void (*Cfs__TeamTokens_Closure)
+                 (const Cfs__TeamTokens *message,
+                  void *closure_data);
+typedef void (*Cfs__TokensAsk_Closure)
+                 (const Cfs__TokensAsk *message,
+                  void *closure_data);
+typedef void (*Cfs__TokensGrant_Closure)
+                 (const Cfs__TokensGrant *message,
+                  void *closure_data);
 typedef void (*Cfs__TeamUse_Closure)
                  (const Cfs__TeamUse *message,
                   void *closure_data);
@@ -1381,6 +1493,9 @@
 extern const ProtobufCMessageDescriptor cfs__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor cfs__target__descriptor;
 extern const ProtobufCMessageDescriptor cfs__turn__descriptor;
+extern const ProtobufCMessageDescriptor cfs__team_tokens__descriptor;
+extern const ProtobufCMessageDescriptor cfs__tokens_ask__descriptor;
+extern const ProtobufCMessageDescriptor cfs__tokens_grant__descriptor;
 extern const ProtobufCMessageDescriptor cfs__team_use__descriptor;
 extern const ProtobufCMessageDescriptor cfs__team_share__descriptor;
 extern const ProtobufCMessageDescriptor cfs__version__descriptor;
--- a/src/request/quota.c
+++ b/src/request/quota.c
@@ -1,16 +1,23 @@
 /*
- * A token bucket a team whose rate is the share.  Leased shares were chosen
- * over grants on demand because they cost no message a request and outlive
- * a change of the control leader.
+ * A token bucket a team whose rate is the share, and single tokens beside
+ * it.  Shares alone refuse a team within its rate where it sends little
+ * through many hosts; tokens alone cost a message a request and nothing
+ * passes while the control leader changes.
  */
 #include "quota.h"
 
+#include "../process/shares.h"
+
 #include <string.h>
 
 /* Span over which demand is counted. */
 #define COUNT_US (500 * CFS_US_PER_MS)
 /* Part of the difference by which demand falls each span. */
 #define DEMAND_FALL 0.2
+/* Tokens are asked for ahead, for what is likely to come in this time. */
+#define AHEAD_US (200 * CFS_US_PER_MS)
+/* An ask without an answer is given up after this time. */
+#define ANSWER_US (120 * CFS_US_PER_MS)
 /* Least depth of a bucket with a share, or no operation would ever pass. */
 #define DEPTH_MIN 1.0
 
@@ -119,6 +126,29 @@
   r->asked++;
 }
 
+static uint32_t
+tokens_held (const struct cfs_quota_row *r, int64_t now)
+{
+  uint32_t held = 0;
+
+  for (size_t i = 0; i < QUOTA_GRANTS; i++)
+    if (now < r->grants[i].until)
+      held += r->grants[i].count;
+  return held;
+}
+
+static bool
+take_token (struct cfs_quota_row *r, int64_t now)
+{
+  for (size_t i = 0; i < QUOTA_GRANTS; i++)
+    if (r->grants[i].count && now < r->grants[i].until)
+      {
+        r->grants[i].count--;
+        return true;
+      }
+  return false;
+}
+
 bool
 cfs_quota_take (struct cfs_quota *q, const char *team, int64_t now,
                 int64_t *wait_us)
@@ -126,6 +156,11 @@
   struct cfs_quota_row *r = cfs_table_add (&q->rows, team);
 
   *wait_us = CFS_NEVER;
+  if (take_token (r, now))
+    {
+      r->granted++;
+      return true;
+    }
   if (now >= q->until || r->share <= 0)
     return false;
   refill (r, now);
@@ -139,6 +174,63 @@
   return true;
 }
 
+bool
+cfs_quota_denied (struct cfs_quota *q, const char *team, int64_t since)
+{
+  const struct cfs_quota_row *r = cfs_table_find (&q->rows, team);
+
+  return r && r->denied_at > since;
+}
+
+void
+cfs_quota_wait (struct cfs_quota *q, const char *team, bool starts)
+{
+  struct cfs_quota_row *r = cfs_table_add (&q->rows, team);
+
+  if (starts)
+    r->waiting++;
+  else if (r->waiting)
+    r->waiting--;
+}
+
+uint32_t
+cfs_quota_wanted (struct cfs_quota_row *r, int64_t now)
+{
+  double ahead = (cfs_quota_demand (r, now) - r->share) * (double)AHEAD_US
+                 / CFS_US_PER_S;
+  uint32_t want = r->waiting;
+  uint32_t have;
+
+  if (now >= r->due_until)
+    r->due = 0;
+  if (want && ahead >= 1)
+    want += (uint32_t)ahead;
+  have = r->due + tokens_held (r, now);
+  if (want <= have)
+    return 0;
+  want -= have;
+  r->due += want;
+  r->due_until = now + ANSWER_US;
+  return want;
+}
+
+void
+cfs_quota_granted (struct cfs_quota *q, const char *team, uint32_t count,
+                   int64_t sent_at)
+{
+  struct cfs_quota_row *r = cfs_table_add (&q->rows, team);
+  struct cfs_quota_grant *g = &r->grants[r->next_grant];
+
+  if (count < r->due)
+    r->denied_at = sent_at;
+  r->due = 0;
+  if (count == 0)
+    return;
+  g->count = count;
+  g->until = sent_at + TOKEN_LIFE_US;
+  r->next_grant = (r->next_grant + 1) % QUOTA_GRANTS;
+}
+
 double
 cfs_quota_demand (const struct cfs_quota_row *row, int64_t now)
 {
--- a/src/request/quota.h
+++ b/src/request/quota.h
@@ -1,9 +1,9 @@
 /**
- * DOC: This host's shares of the teams' rates.
+ * DOC: This host's part of the teams' rates.
  *
  * The control leader gives each host a share of a team's rate for as long
- * as the host's lease; all shares together never exceed the rate.  A share
- * comes with the same part of the burst.
+ * as the host's lease, with the same part of the burst.  Where that does not
+ * suffice, single tokens are asked for.
  */
 #ifndef CFS_QUOTA_H
 #define CFS_QUOTA_H
@@ -12,7 +12,17 @@
 #include "../version/catalog.h"
 #include "../process/wire.pb-c.h"
 
-/** struct cfs_quota_row - one team's share at this host */
+/* Grants of tokens that are kept beside each other. */
+#define QUOTA_GRANTS 8
+
+/** struct cfs_quota_grant - single tokens and when they become void */
+struct cfs_quota_grant
+{
+  uint32_t count;
+  int64_t until;
+};
+
+/** struct cfs_quota_row - one team's share and tokens at this host */
 struct cfs_quota_row
 {
   char team[CFS_NAME_MAX];
@@ -23,6 +33,12 @@
   double asked;
   double demand;
   int64_t counted_at;
+  struct cfs_quota_grant grants[QUOTA_GRANTS];
+  size_t next_grant;
+  uint32_t waiting;
+  uint32_t due;
+  int64_t due_until;
+  int64_t denied_at;
   uint64_t granted;
   uint64_t refused;
 };
@@ -66,6 +82,34 @@
 bool cfs_quota_take (struct cfs_quota *quota, const char *team, int64_t now,
                      int64_t *wait_us);
 
+/**
+ * cfs_quota_denied() - whether the team has no room now
+ * @since: when an operation began to wait
+ *
+ * True when an ask that was sent after @since was not granted in full.
+ */
+bool cfs_quota_denied (struct cfs_quota *quota, const char *team,
+                       int64_t since);
+
+/** cfs_quota_wait() - an operation starts or ends to wait for a token */
+void cfs_quota_wait (struct cfs_quota *quota, const char *team, bool starts);
+
+/**
+ * cfs_quota_wanted() - tokens to ask for now
+ *
+ * What is returned counts as asked for, until it is granted or the answer
+ * does not come.
+ */
+uint32_t cfs_quota_wanted (struct cfs_quota_row *row, int64_t now);
+
+/**
+ * cfs_quota_granted() - takes tokens that were granted
+ * @count: what is granted, maybe less than was asked for
+ * @sent_at: when they were asked for; their life is counted from there
+ */
+void cfs_quota_granted (struct cfs_quota *quota, const char *team,
+                        uint32_t count, int64_t sent_at);
+
 /**
  * cfs_quota_demand() - operations a second that a team asks for here
  *
