Lost and leaving primaries are replaced through the platform

Change: the control leader watches primaries, hears from hosts which instances they cannot use, pauses all replicas, orders the longest log to lead with a fencing token from the replicated log, and lets the others receive again once the new primary was seen leading.

--- a/src/connection/edge.h
+++ b/src/connection/edge.h
@@ -219,14 +219,31 @@
   void *owner;
 };
 
+/**
+ * struct cfs_instance_state - what an instance says of itself
+ * @primary: it leads
+ * @term: its term
+ * @received: end of its log
+ */
+struct cfs_instance_state
+{
+  bool primary;
+  uint64_t term;
+  struct cfs_position received;
+};
+
 /**
  * struct cfs_target_edge - how connections to instances are made
  * @open: starts a connection, or gives NULL when that cannot be
+ * @read_status: decodes the reply to VERB_STATUS, VERB_PAUSE, VERB_RESUME
+ * and VERB_DEMOTE; false when it cannot be read
  */
 struct cfs_target_edge
 {
   struct cfs_wire *(*open) (const struct cfs_target_edge *edge,
                             const struct cfs_wire_setup *setup);
+  bool (*read_status) (const struct cfs_reply *reply,
+                       struct cfs_instance_state *out);
 };
 
 #endif
--- a/src/connection/pool.c
+++ b/src/connection/pool.c
@@ -57,6 +57,7 @@
   int64_t down_pause;
   int64_t answered_at;
   int64_t failed_at;
+  int64_t stuck_at;
   struct cfs_position behind;
   int64_t behind_until;
   uint64_t opened;
@@ -516,6 +517,13 @@
   s->behind_until = now + BEHIND_US;
 }
 
+void
+cfs_pool_note_stuck (struct cfs_pool *p, const char *target, bool stuck,
+                     int64_t now)
+{
+  add_site (p, target)->stuck_at = stuck ? now : 0;
+}
+
 void
 cfs_pool_suspects (const struct cfs_pool *p, int64_t now,
                    void (*each) (void *ctx, const char *target), void *ctx)
@@ -524,9 +532,11 @@
     {
       const struct site *s = cfs_table_at (&p->sites, i);
 
-      if (s->failed_at && s->failed_at > s->answered_at
-          && now - s->failed_at < FORGET_US
-          && cfs_fleet_target (p->fleet, s->id))
+      bool silent = s->failed_at && s->failed_at > s->answered_at
+                    && now - s->failed_at < FORGET_US;
+      bool stuck = s->stuck_at && now - s->stuck_at < FORGET_US;
+
+      if ((silent || stuck) && cfs_fleet_target (p->fleet, s->id))
         each (ctx, s->id);
     }
 }
--- a/src/connection/pool.h
+++ b/src/connection/pool.h
@@ -99,6 +99,13 @@
 void cfs_pool_note_behind (struct cfs_pool *pool, const char *target,
                            const struct cfs_position *need, int64_t now);
 
+/**
+ * cfs_pool_note_stuck() - a write or commit at an instance had no answer in
+ * time, or had one again
+ */
+void cfs_pool_note_stuck (struct cfs_pool *pool, const char *target,
+                          bool stuck, int64_t now);
+
 /** cfs_pool_suspects() - calls @each for targets that cannot be reached */
 void cfs_pool_suspects (const struct cfs_pool *pool, int64_t now,
                         void (*each) (void *ctx, const char *target),
--- a/src/connection/session_run.c
+++ b/src/connection/session_run.c
@@ -80,6 +80,9 @@
 {
   bool commit = s->op.statement.verb == VERB_COMMIT;
 
+  if (s->link && code == REPLY_TIMEOUT)
+    cfs_pool_note_stuck (s->owner->setup.pool, cfs_link_target (s->link), true,
+                         now);
   if (s->state == TX_OPEN && !(commit && s->wrote))
     {
       fail_transaction (s, text, now);
@@ -539,7 +542,11 @@
     }
   cfs_link_timed (s->link, now - s->op.sent_at);
   if ((s->state == TX_IDLE && s->op.writes) || (commit && s->wrote))
-    note_own (s, &r->position);
+    {
+      note_own (s, &r->position);
+      cfs_pool_note_stuck (s->owner->setup.pool, cfs_link_target (s->link),
+                           false, now);
+    }
   s->answered = true;
   if (s->state == TX_IDLE || commit)
     {
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -19,6 +19,8 @@
 #define CALL_RETRY_US (700 * CFS_US_PER_MS)
 #define CALL_REFUSED_US (50 * CFS_US_PER_MS)
 #define HTTP_UNAVAILABLE 503
+/* Time between heartbeats while targets are out of reach. */
+#define HEARTBEAT_SUSPECT_US (100 * CFS_US_PER_MS)
 /* Control hosts that are kept in mind: members and seeds. */
 #define PEERS_MAX 24
 
@@ -131,6 +133,16 @@
              || a->report->heartbeat->n_released);
 }
 
+static int64_t
+heartbeat_wait (const struct cfs_agent *a)
+{
+  if (is_urgent (a))
+    return HEARTBEAT_URGENT_US;
+  if (a->report && a->report->heartbeat->n_suspects)
+    return HEARTBEAT_SUSPECT_US;
+  return HEARTBEAT_US;
+}
+
 static void
 free_peer (Cfs__Peer *peer)
 {
@@ -201,7 +213,7 @@
   out.heartbeat = &h;
   a->sent_at = now;
   a->answered = false;
-  a->next_at = now + (is_urgent (a) ? HEARTBEAT_URGENT_US : HEARTBEAT_US);
+  a->next_at = now + heartbeat_wait (a);
   if (send_to_leader (a, &out) == CFS_OK)
     {
       free_news (a);
@@ -386,7 +398,7 @@
   if (a->report)
     cfs__peer__free_unpacked (a->report, NULL);
   a->report = report;
-  if (is_urgent (a))
+  if (is_urgent (a) || report->heartbeat->n_suspects)
     a->next_at = 0;
 }
 
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -9,6 +9,7 @@
 #include "loop.h"
 #include "settings.h"
 #include "state.h"
+#include "succession.h"
 
 #include <glib.h>
 
@@ -65,11 +66,27 @@
 bool cfs_control_format (const struct cfs_settings *settings, GError **error);
 
 /**
- * cfs_control_serve_documents() - configuration by whole documents
- * @edge: decodes them, must outlive the control host
+ * struct cfs_control_fleet - what a control host of sessions needs besides
+ * @documents: decodes operators' documents
+ * @targets: makes connections to instances
+ * @order: orders an instance to lead; cfs_control_ordered() follows
  */
-void cfs_control_serve_documents (struct cfs_control *control,
-                                  const struct cfs_document_edge *edge);
+struct cfs_control_fleet
+{
+  const struct cfs_document_edge *documents;
+  const struct cfs_target_edge *targets;
+  void (*order) (void *ctx, const char *service, const char *target,
+                 uint64_t fence);
+  void *ctx;
+};
+
+/** cfs_control_serve_fleet() - whole documents, targets, their primaries */
+void cfs_control_serve_fleet (struct cfs_control *control,
+                              const struct cfs_control_fleet *setup);
+
+/** cfs_control_ordered() - the answer to an order */
+void cfs_control_ordered (struct cfs_control *control, const char *service,
+                          uint64_t fence, enum cfs_order_result result);
 
 /** cfs_control_leads() - whether this host may answer for the group now */
 bool cfs_control_leads (const struct cfs_control *control, int64_t now);
--- a/src/process/control_fleet.c
+++ b/src/process/control_fleet.c
@@ -26,6 +26,7 @@
 void
 control_fleet_end (struct cfs_control *c)
 {
+  cfs_succession_free (c->fleet.succession);
   free (c->fleet.orders);
   cfs_table_end (&c->fleet.beats);
 }
@@ -34,7 +35,7 @@
 wait_for (struct cfs_control *c, uint64_t index,
           void (*ended) (void *tag, bool done), void *tag, int64_t now)
 {
-  struct control_fleet *f = &c->fleet;
+  struct fleet_part *f = &c->fleet;
   struct order *o;
 
   if (!index)
@@ -54,7 +55,7 @@
 static void
 settle_orders (struct cfs_control *c, bool ready, int64_t now)
 {
-  struct control_fleet *f = &c->fleet;
+  struct fleet_part *f = &c->fleet;
   size_t kept = 0;
   bool led = cfs_raft_role (c->raft) == RAFT_LEADER;
 
@@ -116,7 +117,7 @@
 void
 control_fleet_tick (struct cfs_control *c, bool ready, int64_t now)
 {
-  struct control_fleet *f = &c->fleet;
+  struct fleet_part *f = &c->fleet;
 
   settle_orders (c, ready, now);
   if (ready && !f->leading)
@@ -127,13 +128,55 @@
   f->leading = ready;
   if (ready)
     drop_silent (c, now);
+  if (f->succession)
+    cfs_succession_tick (f->succession, ready, cfs_raft_commit (c->raft), now);
+}
+
+static uint64_t
+propose_turn (void *ctx, const Cfs__Turn *turn)
+{
+  Cfs__Command cmd = CFS__COMMAND__INIT;
+
+  cmd.body_case = CFS__COMMAND__BODY_TURN;
+  cmd.turn = (Cfs__Turn *)turn;
+  return control_propose (ctx, &cmd);
+}
+
+static void
+order (void *ctx, const char *service, const char *target, uint64_t fence)
+{
+  const struct cfs_control *c = ctx;
+
+  c->fleet.setup.order (c->fleet.setup.ctx, service, target, fence);
+}
+
+static size_t
+suspected (void *ctx, const char *target, size_t *hosts)
+{
+  const struct cfs_control *c = ctx;
+
+  return cfs_leader_suspected (c->leader, target, cfs_now (), hosts);
+}
+
+static const struct cfs_succession_ops succession_ops
+    = { propose_turn, order, suspected };
+
+void
+cfs_control_serve_fleet (struct cfs_control *c,
+                         const struct cfs_control_fleet *setup)
+{
+  c->fleet.setup = *setup;
+  cfs_leader_serve_documents (c->leader, setup->documents,
+                              c->settings->document_lease_us);
+  c->fleet.succession = cfs_succession_new (&succession_ops, c, setup->targets,
+                                            &c->state, cfs_now);
 }
 
 void
-cfs_control_serve_documents (struct cfs_control *c,
-                             const struct cfs_document_edge *edge)
+cfs_control_ordered (struct cfs_control *c, const char *service,
+                     uint64_t fence, enum cfs_order_result result)
 {
-  cfs_leader_serve_documents (c->leader, edge, c->settings->document_lease_us);
+  cfs_succession_ordered (c->fleet.succession, service, fence, result);
 }
 
 bool
--- a/src/process/control_int.h
+++ b/src/process/control_int.h
@@ -31,8 +31,8 @@
   int64_t heard_at;
 };
 
-/** struct control_fleet - documents and targets at the control leader */
-struct control_fleet
+/** struct fleet_part - documents and targets at the control leader */
+struct fleet_part
 {
   struct order *orders;
   size_t count;
@@ -40,6 +40,8 @@
   struct cfs_table beats;
   bool leading;
   int64_t led_since;
+  struct cfs_control_fleet setup;
+  struct cfs_succession *succession;
 };
 
 /* A patch whose answer is not decided yet. */
@@ -65,7 +67,7 @@
   size_t cap;
   uint64_t audited;
   enum cfs_raft_role logged_role;
-  struct control_fleet fleet;
+  struct fleet_part fleet;
 };
 
 /** control_propose() - appends a command; returns its index or 0 */
--- a/src/process/core.c
+++ b/src/process/core.c
@@ -5,6 +5,9 @@
 #include "core.h"
 
 #include "../../platform/desk.h"
+#include "../../platform/document.h"
+#include "../../platform/instances.h"
+#include "../../platform/promotion.h"
 #include "log.h"
 #include "net.h"
 
@@ -23,6 +26,8 @@
   struct cfs_loop *loop;
   struct cfs_control *control;
   struct desk *desk;
+  struct cfs_target_edge *targets;
+  struct promotion *promotion;
 };
 
 static volatile bool stop_requested;
@@ -43,6 +48,32 @@
   signal (SIGHUP, on_signal);
 }
 
+static void
+order (void *ctx, const char *service, const char *target, uint64_t fence)
+{
+  promotion_order (((struct core *)ctx)->promotion, service, target, fence);
+}
+
+static void
+ordered (void *ctx, const char *service, uint64_t fence,
+         enum cfs_order_result result)
+{
+  cfs_control_ordered (((struct core *)ctx)->control, service, fence, result);
+}
+
+static void
+serve_fleet (struct core *c, const struct cfs_settings *settings)
+{
+  struct cfs_control_fleet setup
+      = { .documents = &document_edge, .order = order, .ctx = c };
+
+  c->targets = instances_edge_new (c->loop);
+  c->promotion = promotion_new (settings->promotion_address, settings->host,
+                                ordered, c);
+  setup.targets = c->targets;
+  cfs_control_serve_fleet (c->control, &setup);
+}
+
 static bool
 start (struct core *c, const struct cfs_settings *settings, GError **error)
 {
@@ -52,7 +83,10 @@
   c->loop = cfs_loop_new (c->pool);
   c->control = cfs_control_new (settings, c->zmq, c->loop, error);
   if (c->control)
-    c->desk = desk_new (settings, c->control, c->loop, error);
+    {
+      serve_fleet (c, settings);
+      c->desk = desk_new (settings, c->control, c->loop, error);
+    }
   return c->desk != NULL;
 }
 
@@ -61,6 +95,8 @@
 {
   desk_free (c->desk);
   cfs_control_free (c->control);
+  promotion_free (c->promotion);
+  instances_edge_free (c->targets);
   zmq_ctx_term (c->zmq);
   apr_pool_destroy (c->pool);
   apr_terminate ();
@@ -72,6 +108,7 @@
   cfs_control_pump (c->control);
   desk_pump (c->desk);
   cfs_loop_poll (c->loop, TICK_US);
+  promotion_pump (c->promotion);
   cfs_control_tick (c->control, cfs_now ());
 }
 
--- a/src/process/front.c
+++ b/src/process/front.c
@@ -14,6 +14,7 @@
 #include "../../platform/instances.h"
 #include "../../platform/ready.h"
 #include "log.h"
+#include "leader.h"
 #include "pair.h"
 #include "traffic.h"
 
@@ -50,6 +51,7 @@
   struct ready *ready;
   struct cfs_pair *pair;
   int64_t uses_at;
+  uint64_t suspects_hash;
   bool draining;
   bool was_ready;
 };
@@ -89,6 +91,7 @@
                                .ctx = f };
 
   f->settings = settings;
+  f->suspects_hash = 1;
   cfs_fleet_init (&f->fleet, settings, &document_edge);
   cfs_quota_init (&f->quota);
   apr_pool_create (&f->apr, NULL);
@@ -206,6 +209,42 @@
   free (rows);
 }
 
+static void
+add_suspect (void *ctx, const char *target)
+{
+  Cfs__Heartbeat *h = ctx;
+
+  if (h->n_suspects < HOST_SUSPECTS_MAX)
+    h->suspects[h->n_suspects++] = (char *)target;
+}
+
+/* Tells the control thread which targets are out of reach, when that
+   changes. */
+static void
+send_suspects (struct cfs_front *f, int64_t now)
+{
+  char *list[HOST_SUSPECTS_MAX];
+  Cfs__Peer out = CFS__PEER__INIT;
+  Cfs__Heartbeat h = CFS__HEARTBEAT__INIT;
+  uint64_t hash = 1;
+
+  h.suspects = list;
+  h.draining = f->draining;
+  cfs_pool_suspects (f->pool, now, add_suspect, &h);
+  for (size_t i = 0; i < h.n_suspects; i++)
+    {
+      hash = cfs_hash (list[i], strlen (list[i]), hash);
+      if (f->suspects_hash == 1)
+        cfs_log (CFS_NOTICE, PART, "target=%s is out of reach", list[i]);
+    }
+  if (hash == f->suspects_hash)
+    return;
+  f->suspects_hash = hash;
+  out.body_case = CFS__PEER__BODY_HEARTBEAT;
+  out.heartbeat = &h;
+  cfs_pair_send (f->pair, &out);
+}
+
 /* Asks for tokens where operations wait for them. */
 static void
 send_ask (struct cfs_front *f, int64_t now)
@@ -266,6 +305,7 @@
   cfs_sessions_tick (f->sessions, now);
   send_uses (f, now);
   send_ask (f, now);
+  send_suspects (f, now);
   log_ready (f);
 }
 
--- a/src/process/leader.c
+++ b/src/process/leader.c
@@ -328,6 +328,9 @@
   h->port = in->port;
   h->version = in->version;
   h->draining = in->draining;
+  h->suspect_count = 0;
+  for (size_t i = 0; i < in->n_suspects && i < HOST_SUSPECTS_MAX; i++)
+    cfs_copy (h->suspects[h->suspect_count++], CFS_NAME_MAX, in->suspects[i]);
   h->seen_at = now;
   return h;
 }
@@ -463,6 +466,34 @@
   l->members = *members;
 }
 
+static bool
+host_suspects (const struct cfs_host *h, const char *target)
+{
+  for (size_t i = 0; i < h->suspect_count; i++)
+    if (strcmp (h->suspects[i], target) == 0)
+      return true;
+  return false;
+}
+
+size_t
+cfs_leader_suspected (const struct cfs_leader *l, const char *target,
+                      int64_t now, size_t *hosts)
+{
+  size_t count = 0;
+
+  *hosts = 0;
+  for (size_t i = 0; i < l->hosts.count; i++)
+    {
+      const struct cfs_host *h = cfs_table_at (&l->hosts, i);
+
+      if (now - h->seen_at >= HOST_FRESH_US)
+        continue;
+      (*hosts)++;
+      count += host_suspects (h, target);
+    }
+  return count;
+}
+
 const struct cfs_catalog *
 cfs_leader_catalog (const struct cfs_leader *l)
 {
--- a/src/process/leader.h
+++ b/src/process/leader.h
@@ -30,6 +30,9 @@
 /* Announcements are collected this long before a group's first term. */
 #define GROUP_DISCOVERY_US (300 * CFS_US_PER_MS)
 
+/* Targets that a host may report as out of reach at a time. */
+#define HOST_SUSPECTS_MAX 8
+
 struct cfs_leader;
 
 /**
@@ -56,6 +59,8 @@
   int64_t lease_end;
   int64_t old_boot_end;
   bool draining;
+  char suspects[HOST_SUSPECTS_MAX][CFS_NAME_MAX];
+  size_t suspect_count;
 };
 
 /** struct cfs_instance - what the leader knows of one target instance */
@@ -136,6 +141,13 @@
 void cfs_leader_set_members (struct cfs_leader *leader,
                              const struct cfs_members *members);
 
+/**
+ * cfs_leader_suspected() - number of hosts that cannot reach a target
+ * @hosts: set to the number of hosts that are alive
+ */
+size_t cfs_leader_suspected (const struct cfs_leader *leader,
+                             const char *target, int64_t now, size_t *hosts);
+
 /**
  * cfs_leader_tokens() - grants tokens beyond the shares
  *
--- a/src/process/targets.c
+++ b/src/process/targets.c
@@ -32,6 +32,7 @@
   out->born = t->born;
   out->sequence = t->sequence;
   out->changed = t->changed;
+  out->claimed = t->claimed;
 }
 
 void
@@ -47,6 +48,7 @@
   t->born = in->born;
   t->sequence = in->sequence;
   t->changed = in->changed;
+  t->claimed = in->claimed;
 }
 
 void
@@ -74,6 +76,7 @@
                    uint64_t index)
 {
   struct cfs_target *t = cfs_table_find (targets, in->id);
+  uint64_t claimed = 0;
 
   if (!*in->id)
     return false;
@@ -81,8 +84,11 @@
     return false;
   if (!t)
     t = cfs_table_add (targets, in->id);
+  if (in->primary)
+    claimed = t->primary && t->born == in->born ? t->claimed : index;
   cfs_target_load (t, in);
   t->changed = index;
+  t->claimed = claimed;
   return true;
 }
 
@@ -117,11 +123,11 @@
     {
       const struct cfs_target *t = cfs_table_at (targets, i);
       bool ordered = turn && !turn->open && strcmp (turn->target, t->id) == 0;
-      uint64_t at
-          = ordered && turn->changed > t->changed ? turn->changed : t->changed;
+      uint64_t at = t->claimed;
 
-      if (t->gone || strcmp (t->service, service) != 0
-          || (!t->primary && !(ordered && turn->changed > t->changed)))
+      if (ordered && turn->changed > at)
+        at = turn->changed;
+      if (t->gone || at == 0 || strcmp (t->service, service) != 0)
         continue;
       if (best && at <= best_at)
         continue;
--- a/src/process/targets.h
+++ b/src/process/targets.h
@@ -25,6 +25,7 @@
  * @born: incarnation: Unix milliseconds of its start
  * @sequence: number of its last report within the incarnation
  * @changed: log index of the last change
+ * @claimed: log index at which it began to say that it leads
  */
 struct cfs_target
 {
@@ -39,6 +40,7 @@
   uint64_t born;
   uint64_t sequence;
   uint64_t changed;
+  uint64_t claimed;
 };
 
 /**
--- a/src/process/wire.pb-c.c
+++ b/src/process/wire.pb-c.c
@@ -2838,7 +2838,7 @@
   (ProtobufCMessageInit) cfs__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfs__target__field_descriptors[11] =
+static const ProtobufCFieldDescriptor cfs__target__field_descriptors[12] =
 {
   {
     "id",
@@ -2972,11 +2972,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "claimed",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Target, claimed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfs__target__field_indices_by_name[] = {
   2,   /* field[2] = address */
   8,   /* field[8] = born */
   10,   /* field[10] = changed */
+  11,   /* field[11] = claimed */
   6,   /* field[6] = draining */
   7,   /* field[7] = gone */
   0,   /* field[0] = id */
@@ -2989,7 +3002,7 @@
 static const ProtobufCIntRange cfs__target__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor cfs__target__descriptor =
 {
@@ -2999,7 +3012,7 @@
   "Cfs__Target",
   "cfs",
   sizeof(Cfs__Target),
-  11,
+  12,
   cfs__target__field_descriptors,
   cfs__target__field_indices_by_name,
   1,  cfs__target__number_ranges,
--- a/src/process/wire.pb-c.h
+++ b/src/process/wire.pb-c.h
@@ -257,10 +257,11 @@
   uint64_t born;
   uint64_t sequence;
   uint64_t changed;
+  uint64_t claimed;
 };
 #define CFS__TARGET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfs__target__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
