Silent or leaving voters are replaced by learners that caught up

Ruled out: removal of every silent voter (three voters with one away would become two, of which none may be lost). Change: an elastic group keeps three voters, five with five or more members; a learner takes the place of a voter that is silent for 2 s or says that it stops; a stopping member waits for that where a learner is there.

--- a/src/process/control.c
+++ b/src/process/control.c
@@ -522,6 +522,7 @@
   cfs_state_init (&c->state);
   randombytes_buf (&fresh, sizeof fresh);
   randombytes_buf (&boot.seed, sizeof boot.seed);
+  boot.elastic = settings->by_seeds;
   control_fleet_init (c);
   if (prepare_folder (settings, error))
     c->disk = cfs_disk_open (settings->data_folder, &boot, fresh | 2, error);
@@ -532,7 +533,8 @@
     }
   if (boot.snapshot.members.count == 0)
     {
-      cfs_log (CFS_NOTICE, PART, "the data folder is new; asks to join");
+      if (boot.count == 0)
+        cfs_log (CFS_NOTICE, PART, "the data folder is new; asks to join");
       genesis_members (settings, &boot.snapshot.members);
     }
   c->audited = cfs_disk_audited (c->disk);
@@ -585,6 +587,12 @@
   log_role (c);
 }
 
+bool
+cfs_control_leave (struct cfs_control *c)
+{
+  return cfs_raft_leave (c->raft, cfs_now ());
+}
+
 void
 cfs_control_pump (struct cfs_control *c)
 {
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -52,6 +52,13 @@
 /** cfs_control_tick() - timers; at least every 20 ms */
 void cfs_control_tick (struct cfs_control *control, int64_t now);
 
+/**
+ * cfs_control_leave() - asks the group for a replacement before a stop
+ *
+ * Return: whether it makes sense to run on until it is there.
+ */
+bool cfs_control_leave (struct cfs_control *control);
+
 /** cfs_control_pump() - handles what has arrived, before each wait */
 void cfs_control_pump (struct cfs_control *control);
 
@@ -127,12 +134,12 @@
                         int64_t now);
 
 /**
- * cfs_control_leave() - a target says that it is gone
+ * cfs_control_target_left() - a target says that it is gone
  *
  * Return: as of cfs_control_report().
  */
-int cfs_control_leave (struct cfs_control *control, const char *id,
-                       void (*ended) (void *tag, bool done), void *tag,
-                       int64_t now);
+int cfs_control_target_left (struct cfs_control *control, const char *id,
+                             void (*ended) (void *tag, bool done), void *tag,
+                             int64_t now);
 
 #endif
--- a/src/process/control_fleet.c
+++ b/src/process/control_fleet.c
@@ -291,9 +291,9 @@
 }
 
 int
-cfs_control_leave (struct cfs_control *c, const char *id,
-                   void (*ended) (void *tag, bool done), void *tag,
-                   int64_t now)
+cfs_control_target_left (struct cfs_control *c, const char *id,
+                         void (*ended) (void *tag, bool done), void *tag,
+                         int64_t now)
 {
   const struct cfs_target *row = cfs_table_find (&c->state.targets, id);
   const struct beat *b = cfs_table_find (&c->fleet.beats, id);
--- a/src/process/core.c
+++ b/src/process/core.c
@@ -18,6 +18,8 @@
 
 #define PART "core"
 #define TICK_US (5 * CFS_US_PER_MS)
+/* A stopping member waits at most this long for its replacement. */
+#define LEAVE_MAX_US (2500 * CFS_US_PER_MS)
 
 struct core
 {
@@ -112,6 +114,16 @@
   cfs_control_tick (c->control, cfs_now ());
 }
 
+/* Hands the vote over to a member that waits for one, if there is any. */
+static void
+leave_group (struct core *c)
+{
+  int64_t until = cfs_now () + LEAVE_MAX_US;
+
+  while (cfs_now () < until && cfs_control_leave (c->control))
+    turn (c);
+}
+
 bool
 cfs_core_serve (const struct cfs_settings *settings, GError **error)
 {
@@ -126,6 +138,7 @@
                settings->control_address);
       while (!stop_requested)
         turn (&c);
+      leave_group (&c);
       cfs_log (CFS_NOTICE, PART, "stops");
     }
   end (&c);
--- a/src/process/raft.c
+++ b/src/process/raft.c
@@ -634,7 +634,7 @@
   advance_commit (r, now);
   if (r->role == RAFT_LEADER && p->next <= raft_last_index (r))
     send_append (r, p, now);
-  raft_promote_learners (r, now);
+  raft_maintain_members (r, now);
 }
 
 struct cfs_raft *
@@ -656,6 +656,7 @@
   r->commit = r->snap.index;
   r->applied = r->snap.index;
   r->seed = boot->seed ? boot->seed : 1;
+  r->elastic = boot->elastic;
   r->heard_at = now;
   raft_reload_members (r);
   become_follower (r, 0, now);
@@ -685,7 +686,10 @@
       if (now - confirmed_at (r, now) > RAFT_ELECTION_US)
         become_follower (r, 0, now);
       else if (now >= r->broadcast_at)
-        broadcast (r, now);
+        {
+          broadcast (r, now);
+          raft_maintain_members (r, now);
+        }
       return;
     }
   if (now < r->election_at || !is_voter (r, r->id))
@@ -701,6 +705,8 @@
   switch (m->type)
     {
     case MSG_PREVOTE:
+      if (r->elastic && !raft_member_by_id (r, m->from))
+        raft_on_join (r, m, now);
       on_prevote (r, m, now);
       break;
     case MSG_VOTE:
@@ -722,6 +728,9 @@
     case MSG_JOIN:
       raft_on_join (r, m, now);
       break;
+    case MSG_LEAVE:
+      raft_on_leave (r, m);
+      break;
     default:
       break;
     }
--- a/src/process/raft.h
+++ b/src/process/raft.h
@@ -21,6 +21,15 @@
 #define RAFT_DRIFT_PERCENT 2
 /* Entries kept in the log before a snapshot replaces them. */
 #define RAFT_SNAPSHOT_ENTRIES 512
+/* A member without an answer for this time counts as silent. */
+#define RAFT_SILENT_US (2 * CFS_US_PER_S)
+/* A learner that is silent for this time is dropped; it may join again. */
+#define RAFT_LEARNER_LOST_US (5 * CFS_US_PER_S)
+/* Voters wanted where members find one another: with few members and with
+   at least RAFT_MANY of them. */
+#define RAFT_VOTERS_FEW 3
+#define RAFT_VOTERS_MANY 5
+#define RAFT_MANY 5
 /* Entries sent in one append. */
 #define RAFT_BATCH 128
 
@@ -109,9 +118,15 @@
   RAFT_LEADER
 };
 
-/** struct cfs_raft_boot - what was on disk, or the first members */
+/**
+ * struct cfs_raft_boot - what was on disk, or the first members
+ * @elastic: members find one another: the group keeps an odd number of
+ * voters and replaces silent ones by learners that have caught up; without
+ * it every learner becomes a voter and stays one
+ */
 struct cfs_raft_boot
 {
+  bool elastic;
   uint64_t id;
   uint64_t term;
   uint64_t vote;
@@ -164,6 +179,14 @@
 int cfs_raft_propose (struct cfs_raft *raft, const uint8_t *data, size_t len,
                       int64_t now, uint64_t *index);
 
+/**
+ * cfs_raft_leave() - asks to be replaced before a planned stop
+ *
+ * To be called repeatedly.  Return: whether a replacement is there, so that
+ * waiting for it makes sense; false once this host is no voter any more.
+ */
+bool cfs_raft_leave (struct cfs_raft *raft, int64_t now);
+
 /** cfs_raft_role() - the present role */
 enum cfs_raft_role cfs_raft_role (const struct cfs_raft *raft);
 
--- a/src/process/raft_int.h
+++ b/src/process/raft_int.h
@@ -17,7 +17,8 @@
   MSG_APPEND,
   MSG_APPEND_REPLY,
   MSG_SNAPSHOT,
-  MSG_JOIN
+  MSG_JOIN,
+  MSG_LEAVE
 };
 
 /** struct raft_peer - what the leader knows of another member */
@@ -29,6 +30,7 @@
   int64_t acked_at;
   int64_t sent_at;
   bool granted;
+  bool leaving;
 };
 
 struct cfs_raft
@@ -56,6 +58,8 @@
   int64_t joined_at;
   uint64_t term_start;
   uint64_t seed;
+  bool elastic;
+  int64_t surplus_since;
 };
 
 /** raft_last_index() - index of the last entry */
@@ -102,7 +106,10 @@
 void raft_on_join (struct cfs_raft *raft, const Cfs__RaftMsg *msg,
                    int64_t now);
 
-/** raft_promote_learners() - makes a learner that caught up a voter */
-void raft_promote_learners (struct cfs_raft *raft, int64_t now);
+/** raft_on_leave() - a member is about to stop for a planned reason */
+void raft_on_leave (struct cfs_raft *raft, const Cfs__RaftMsg *msg);
+
+/** raft_maintain_members() - makes at most one change of members */
+void raft_maintain_members (struct cfs_raft *raft, int64_t now);
 
 #endif
--- a/src/process/raft_member.c
+++ b/src/process/raft_member.c
@@ -87,7 +87,10 @@
       if (old)
         kept[i] = *old;
       else
-        kept[i].next = raft_last_index (r) + 1;
+        {
+          kept[i].next = raft_last_index (r) + 1;
+          kept[i].acked_at = r->heard_at;
+        }
       kept[i].id = members->at[i].id;
     }
   memcpy (r->peers, kept, members->count * sizeof kept[0]);
@@ -159,6 +162,18 @@
   return false;
 }
 
+/* Whether a learner is still catching up; in an elastic group those that
+   have caught up may stay learners. */
+static bool
+repair_runs (const struct cfs_raft *r)
+{
+  for (size_t i = 0; i < r->members.count; i++)
+    if (!r->members.at[i].voter
+        && (!r->elastic || r->peers[i].match + RAFT_BATCH < r->commit))
+      return true;
+  return false;
+}
+
 /* A new identity of a known host first pushes out the old one, then comes in
    as a learner; each step waits until the one before is committed, and no
    second repair starts while a learner is there. */
@@ -173,7 +188,8 @@
   for (i = 0; i < next.count; i++)
     if (strcmp (next.at[i].host, m->host) == 0)
       break;
-  if (learner_exists (r) && (i == next.count || next.at[i].voter))
+  if (i == next.count ? repair_runs (r)
+                      : next.at[i].voter && learner_exists (r))
     return;
   if (i < next.count)
     {
@@ -190,22 +206,157 @@
   change_members (r, &next, now);
 }
 
+static bool
+is_silent (const struct cfs_raft *r, size_t i, int64_t bound, int64_t now)
+{
+  return r->peers[i].id != r->id && now - r->peers[i].acked_at > bound;
+}
+
+/* A learner that has everything and answers, or the number of members. */
+static size_t
+find_ready_learner (const struct cfs_raft *r, int64_t now)
+{
+  size_t i = 0;
+
+  while (i < r->members.count
+         && (r->members.at[i].voter || r->peers[i].match < r->commit
+             || is_silent (r, i, RAFT_ELECTION_US, now)))
+    i++;
+  return i;
+}
+
+/* A voter that is silent or leaves, or the number of members. */
+static size_t
+find_failing_voter (const struct cfs_raft *r, int64_t now)
+{
+  size_t i = 0;
+
+  while (
+      i < r->members.count
+      && (!r->members.at[i].voter
+          || !(r->peers[i].leaving || is_silent (r, i, RAFT_SILENT_US, now))))
+    i++;
+  return i;
+}
+
+static size_t
+count_voters (const struct cfs_raft *r)
+{
+  size_t voters = 0;
+
+  for (size_t i = 0; i < r->members.count; i++)
+    voters += r->members.at[i].voter;
+  return voters;
+}
+
+static size_t
+voters_wanted (const struct cfs_raft *r, int64_t now)
+{
+  size_t alive = 0;
+
+  for (size_t i = 0; i < r->members.count; i++)
+    alive += !is_silent (r, i, RAFT_LEARNER_LOST_US, now);
+  return alive >= RAFT_MANY ? RAFT_VOTERS_MANY : RAFT_VOTERS_FEW;
+}
+
+static void
+remove_member (struct cfs_raft *r, size_t i, int64_t now)
+{
+  struct cfs_members next = r->members;
+
+  next.at[i] = next.at[next.count - 1];
+  next.count--;
+  change_members (r, &next, now);
+}
+
+/* The member to remove from a group with more voters than wanted: one that
+   fails, or after a while the last that does not lead. */
+static size_t
+find_surplus_voter (struct cfs_raft *r, int64_t now)
+{
+  size_t failing = find_failing_voter (r, now);
+  size_t last = r->members.count;
+
+  if (failing < r->members.count)
+    return failing;
+  if (!r->surplus_since)
+    r->surplus_since = now;
+  if (now - r->surplus_since < RAFT_LEARNER_LOST_US)
+    return r->members.count;
+  for (size_t i = 0; i < r->members.count; i++)
+    if (r->members.at[i].voter && r->members.at[i].id != r->id)
+      last = i;
+  return last;
+}
+
+static void
+maintain_elastic (struct cfs_raft *r, size_t learner, int64_t now)
+{
+  size_t voters = count_voters (r);
+  size_t wanted = voters_wanted (r, now);
+  bool fails = find_failing_voter (r, now) < r->members.count;
+  size_t i;
+
+  if (voters <= wanted)
+    r->surplus_since = 0;
+  if (learner < r->members.count
+      && (voters < wanted || (voters == wanted && fails)))
+    {
+      struct cfs_members next = r->members;
+
+      next.at[learner].voter = true;
+      change_members (r, &next, now);
+      return;
+    }
+  i = voters > wanted ? find_surplus_voter (r, now) : r->members.count;
+  for (size_t j = 0; i == r->members.count && j < r->members.count; j++)
+    if (!r->members.at[j].voter && is_silent (r, j, RAFT_LEARNER_LOST_US, now))
+      i = j;
+  if (i < r->members.count)
+    remove_member (r, i, now);
+}
+
 void
-raft_promote_learners (struct cfs_raft *r, int64_t now)
+raft_maintain_members (struct cfs_raft *r, int64_t now)
 {
   struct cfs_members next = r->members;
+  size_t learner;
 
   if (!may_change (r))
     return;
-  for (size_t i = 0; i < next.count; i++)
+  learner = find_ready_learner (r, now);
+  if (r->elastic)
+    maintain_elastic (r, learner, now);
+  else if (learner < r->members.count)
     {
-      const struct raft_peer *p = &r->peers[i];
-
-      if (next.at[i].voter || p->match < r->commit
-          || now - p->acked_at > RAFT_ELECTION_US)
-        continue;
-      next.at[i].voter = true;
+      next.at[learner].voter = true;
       change_members (r, &next, now);
-      return;
     }
 }
+
+void
+raft_on_leave (struct cfs_raft *r, const Cfs__RaftMsg *m)
+{
+  struct raft_peer *p = raft_peer_of (r, m->from);
+
+  if (p)
+    p->leaving = true;
+}
+
+bool
+cfs_raft_leave (struct cfs_raft *r, int64_t now)
+{
+  const struct cfs_member *self = raft_member_by_id (r, r->id);
+  struct raft_peer *p = raft_peer_of (r, r->id);
+  Cfs__RaftMsg m;
+
+  (void)now;
+  if (!self || !self->voter
+      || (!learner_exists (r) && count_voters (r) <= RAFT_VOTERS_FEW))
+    return false;
+  p->leaving = true;
+  raft_init_msg (r, &m, MSG_LEAVE, r->leader);
+  if (r->leader && r->leader != r->id)
+    raft_send_to (r, &m);
+  return true;
+}
