--- /dev/null
+++ b/tests/unit/session_random.c
@@ -0,0 +1,69 @@
+/*
+ * Sessions under random schedules: answers lost, links broken, orders
+ * carried out late, replicas that lag, primaries replaced, callers that
+ * leave.  Each kind of route; every statement and reply is checked.
+ */
+#include "../../src/process/log.h"
+#include "../world/seeds.h"
+#include "../world/sessions.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#define RUN_US (5 * CFS_US_PER_S)
+#define QUIET_US (2 * CFS_US_PER_S)
+
+static bool
+run_seed (uint64_t seed)
+{
+  struct world_sessions *w
+      = ws_new (seed, (enum cfs_consistency) (seed % 3), true);
+  const char *fault;
+
+  ws_run (w, RUN_US);
+  w->faults = false;
+  ws_run (w, QUIET_US);
+  fault = ws_check_end (w);
+  if (fault)
+    printf ("seed %llu: %s\n", (unsigned long long)seed, fault);
+  ws_free (w);
+  return !fault;
+}
+
+static void
+random_schedules_keep_the_promises (void **state)
+{
+  (void)state;
+  assert_int_equal (seeds_failed (run_seed), 0);
+}
+
+static void
+a_calm_group_serves_everything (void **state)
+{
+  (void)state;
+  for (int kind = 0; kind < 3; kind++)
+    {
+      struct world_sessions *w = ws_new (7, (enum cfs_consistency)kind, false);
+
+      ws_run (w, RUN_US);
+      assert_null (ws_check_end (w));
+      for (unsigned i = 1; i < w->op_count; i++)
+        assert_false (w->ops[i].promised);
+      ws_free (w);
+    }
+}
+
+int
+main (void)
+{
+  cfs_log_open ("test", getenv ("TRACE") ? CFS_INFO : CFS_ERR);
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (a_calm_group_serves_everything),
+          cmocka_unit_test (random_schedules_keep_the_promises) };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
