--- a/tests/world/sessions.c
+++ b/tests/world/sessions.c
@@ -94,7 +94,7 @@
     {
       struct ws_instance *r = &w->instances[i];
 
-      if (r->primary || !r->alive || !p->alive)
+      if (r->primary || !r->alive || !p->alive || w->now < r->deaf_until)
         continue;
       if (r->received >= w->term_start)
         r->term = p->term;
@@ -113,6 +113,7 @@
 
   for (unsigned i = 0; i < WS_INSTANCES; i++)
     if (!w->instances[i].primary && w->instances[i].alive
+        && w->now >= w->instances[i].deaf_until
         && (!best || w->instances[i].received > best->received))
       best = &w->instances[i];
   if (!best || w->length == WS_COMMITS)
@@ -144,7 +145,7 @@
   if (!best || !old)
     return;
   old->primary = false;
-  old->lag_us = (int64_t)draw (w, 600) * CFS_US_PER_MS;
+  old->deaf_until = w->now + (int64_t)draw (w, 600) * CFS_US_PER_MS;
   best->primary = true;
   best->term = old->term + 1;
   w->term_start = best->received;
--- a/tests/world/sessions.h
+++ b/tests/world/sessions.h
@@ -33,6 +33,7 @@
   uint64_t term;
   uint64_t received;
   int64_t lag_us;
+  int64_t deaf_until;
 };
 
 /** struct ws_id - what is known of one statement of a caller */
