An instance that was born earlier at the same address is gone

Ruled out: a shorter silence before a row counts as lost (a promotion without a replica that may hold the only copy of a commit). Change: a report for an address supersedes earlier instances there.

--- a/src/process/targets.c
+++ b/src/process/targets.c
@@ -71,6 +71,22 @@
   t->changed = in->changed;
 }
 
+/* An address has one instance at a time: an earlier one there is gone. */
+static void
+supersede (struct cfs_table *targets, const Cfs__Target *in, uint64_t index)
+{
+  for (size_t i = 0; i < targets->count; i++)
+    {
+      struct cfs_target *t = cfs_table_at (targets, i);
+
+      if (t->gone || strcmp (t->id, in->id) == 0 || t->born >= in->born
+          || strcmp (t->address, in->address) != 0)
+        continue;
+      t->gone = true;
+      t->changed = index;
+    }
+}
+
 bool
 cfs_targets_apply (struct cfs_table *targets, const Cfs__Target *in,
                    uint64_t index)
@@ -89,6 +105,8 @@
   cfs_target_load (t, in);
   t->changed = index;
   t->claimed = claimed;
+  if (!in->gone)
+    supersede (targets, in, index);
   return true;
 }
 
--- a/src/process/targets.h
+++ b/src/process/targets.h
@@ -79,7 +79,8 @@
 /**
  * cfs_targets_apply() - applies a committed report
  * @targets: table of struct cfs_target
- * @in: report; an older one than the row's changes nothing
+ * @in: report; an older one than the row's changes nothing; an instance
+ * that was born earlier at the same address is gone
  * @index: log index
  *
  * Return: whether the table changed.
