Sessions wait for the host's lease; suspicion must last

Ruled out: shorter elections alone (0.1 s of 1.3 s). Change: a caller waits up to 1.6 s for its session while the host has no lease; a primary that answers the leader is replaced only when hosts suspect it for 300 ms, one that takes no connections at once.

--- a/src/connection/edge.h
+++ b/src/connection/edge.h
@@ -152,12 +152,15 @@
 
 /**
  * struct cfs_caller_ops - effects on a caller's connection
+ * @admitted: a session that had to wait is accepted, or refused: then it
+ * is gone and @caller closes itself
  * @reply: the end of the statement that the caller waits for
  * @close: ends the connection without a message; @caller and its
  * session must not be used afterwards
  */
 struct cfs_caller_ops
 {
+  void (*admitted) (struct cfs_caller *caller, enum cfs_reply_code code);
   void (*reply) (struct cfs_caller *caller, const struct cfs_reply *reply);
   void (*close) (struct cfs_caller *caller);
 };
--- a/src/connection/session.c
+++ b/src/connection/session.c
@@ -16,6 +16,8 @@
 #define PART "session"
 /* A statement that no instance has yet is held for this part of its time. */
 #define HOLD_DIVISOR 2
+/* A caller waits at most this long for its session. */
+#define ADMIT_MAX_US (1600 * CFS_US_PER_MS)
 /* A stopping host closes a session that rested for this time. */
 #define REST_US (300 * CFS_US_PER_MS)
 
@@ -100,6 +102,19 @@
   return team && strcmp (team->name, s->team) == 0;
 }
 
+static void
+log_refused (const struct cfs_session *s, enum cfs_reply_code code)
+{
+  const struct cfs_fleet *f = s->owner->setup.fleet;
+
+  cfs_log (CFS_INFO, PART,
+           "database=%s session refused code=%s version=%" PRIu64
+           " leased=%d draining=%d",
+           s->database, cfs_reply_name (code),
+           f->catalog ? f->catalog->version : 0,
+           cfs_fleet_leased (f, session_now (s)), s->owner->draining);
+}
+
 struct cfs_session *
 cfs_session_open (struct cfs_sessions *ss, struct cfs_caller *caller,
                   const char *database, const char *key,
@@ -112,22 +127,19 @@
   s->database = cfs_strdup (database);
   s->key = cfs_strdup (key);
   s->rested_at = cfs_pool_now (ss->setup.pool);
-  if (ss->draining || !session_allowed (s, s->rested_at, code))
+  if (ss->draining)
+    *code = REPLY_BUSY;
+  else
+    session_allowed (s, s->rested_at, code);
+  if (*code != REPLY_OK && (*code != REPLY_BUSY || ss->draining))
     {
-      if (ss->draining)
-        *code = REPLY_BUSY;
-      cfs_log (CFS_INFO, PART,
-               "database=%s session refused code=%s version=%" PRIu64
-               " draining=%d",
-               database, cfs_reply_name (*code),
-               ss->setup.fleet->catalog ? ss->setup.fleet->catalog->version
-                                        : 0,
-               ss->draining);
+      log_refused (s, *code);
       free (s->database);
       free (s->key);
       free (s);
       return NULL;
     }
+  s->pending = *code != REPLY_OK;
   s->values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   s->prepared
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_prepared);
@@ -499,6 +511,26 @@
   s->state = TX_FAILED;
 }
 
+/* Admits a session once this host knows enough, or refuses it. */
+static void
+check_pending (struct cfs_session *s, int64_t now)
+{
+  struct cfs_caller *caller = s->caller;
+  enum cfs_reply_code code;
+
+  session_allowed (s, now, &code);
+  if (code == REPLY_BUSY && now - s->rested_at < ADMIT_MAX_US
+      && !s->owner->draining)
+    return;
+  s->pending = false;
+  if (code != REPLY_OK)
+    {
+      log_refused (s, code);
+      free_session (s);
+    }
+  caller->ops->admitted (caller, code);
+}
+
 void
 cfs_sessions_tick (struct cfs_sessions *ss, int64_t now)
 {
@@ -508,7 +540,9 @@
   for (struct cfs_session *s = ss->first; s; s = next)
     {
       next = s->next;
-      if (s->op.phase != OP_NONE)
+      if (s->pending)
+        check_pending (s, now);
+      else if (s->op.phase != OP_NONE)
         session_check (s, now);
       else
         check_rest (s, now);
@@ -525,7 +559,7 @@
       struct cfs_caller *caller = s->caller;
 
       next = s->next;
-      if (s->op.phase != OP_NONE || now - s->rested_at < REST_US
+      if (s->pending || s->op.phase != OP_NONE || now - s->rested_at < REST_US
           || (s->state != TX_IDLE && !abandon))
         continue;
       session_abandon (s, now);
--- a/src/connection/session.h
+++ b/src/connection/session.h
@@ -59,7 +59,9 @@
  * @caller: its connection
  * @database: name that it gives
  * @key: its key, or anything on a route open to all
- * @code: set to why it is refused
+ * @code: set to REPLY_OK, to REPLY_BUSY with a session when this host does
+ * not know enough yet: then the admitted event follows, or to why the caller
+ * is refused
  *
  * Return: a session, ended by cfs_session_gone() or by closing @caller; or
  * NULL.
--- a/src/connection/session_int.h
+++ b/src/connection/session_int.h
@@ -88,6 +88,7 @@
   char service[CFS_NAME_MAX];
   char team[CFS_NAME_MAX];
   enum cfs_tx_state state;
+  bool pending;
   bool read_only;
   bool on_link;
   bool wrote;
--- a/src/process/succession.c
+++ b/src/process/succession.c
@@ -31,6 +31,12 @@
 #define ORDER_MAX_US (2500 * CFS_US_PER_MS)
 /* Time for the chosen instance to be seen leading. */
 #define CONFIRM_MAX_US (3 * CFS_US_PER_S)
+/* Pause before a lost connection is tried again. */
+#define RECONNECT_US (50 * CFS_US_PER_MS)
+/* Connections in a row that failed before a primary counts as down. */
+#define FAILURES_MAX 2
+/* Hosts must go on to suspect a primary that answers for this time. */
+#define SUSPECTED_US (300 * CFS_US_PER_MS)
 /* Pause before the next attempt. */
 #define RETRY_US (200 * CFS_US_PER_MS)
 /* No change starts for this time after one has ended. */
@@ -64,6 +70,7 @@
   bool asking;
   bool paused;
   bool read;
+  unsigned failures;
   int64_t asked_at;
   int64_t answered_at;
   int64_t retry_at;
@@ -78,6 +85,7 @@
   enum phase phase;
   struct probe watch;
   int64_t denied_at;
+  int64_t suspected_at;
   int64_t leaderless_at;
   struct probe probes[PROBES_MAX];
   size_t probe_count;
@@ -175,6 +183,7 @@
       return;
     }
   p->up = true;
+  p->failures = 0;
   p->term = r->position.term;
 }
 
@@ -215,7 +224,8 @@
   p->wire = NULL;
   p->up = false;
   p->asking = false;
-  p->retry_at = p->owner->clock () + RETRY_US;
+  p->failures++;
+  p->retry_at = p->owner->clock () + RECONNECT_US;
 }
 
 static const struct cfs_wire_events events
@@ -298,7 +308,7 @@
 
 /* Why the primary is to be replaced, or NULL. */
 static const char *
-reason_to_change (const struct cfs_succession *s, const struct reign *r,
+reason_to_change (const struct cfs_succession *s, struct reign *r,
                   const struct cfs_target *t, int64_t now)
 {
   size_t hosts = 0;
@@ -319,7 +329,14 @@
     return "the primary is silent";
   if (silent > SILENT_US && (double)suspects >= SUSPECT_PART * (double)hosts)
     return "the primary is silent, hosts cannot reach it";
-  if (hosts > 1 && (double)suspects >= SUSPECT_ALONE_PART * (double)hosts)
+  if (r->watch.failures >= FAILURES_MAX
+      && (double)suspects >= SUSPECT_PART * (double)hosts)
+    return "the primary takes no connections";
+  if (hosts < 2 || (double)suspects < SUSPECT_ALONE_PART * (double)hosts)
+    r->suspected_at = 0;
+  else if (!r->suspected_at)
+    r->suspected_at = now;
+  if (r->suspected_at && now - r->suspected_at > SUSPECTED_US)
     return "hosts cannot use the primary";
   return NULL;
 }
--- a/tests/world/sessions.c
+++ b/tests/world/sessions.c
@@ -548,7 +548,15 @@
   c->waiting = false;
 }
 
-static const struct cfs_caller_ops caller_ops = { caller_reply, caller_close };
+static void
+caller_admitted (struct cfs_caller *base, enum cfs_reply_code code)
+{
+  (void)code;
+  fault (((struct ws_caller *)base)->world, "a session had to wait");
+}
+
+static const struct cfs_caller_ops caller_ops
+    = { caller_admitted, caller_reply, caller_close };
 
 static void
 open_session (struct ws_caller *c)
