Hosts are recorded before they get shares; a stop closes busy sessions too

Change: hosts that may hold shares are recorded in the log, and the leader gives shares once all of them have told theirs; after 42% of the stop time sessions close after each answer; a quarter of the hosts suffices to suspect a primary that answers the leader, for 500 ms.

--- a/src/connection/session.c
+++ b/src/connection/session.c
@@ -18,8 +18,6 @@
 #define HOLD_DIVISOR 2
 /* A caller waits at most this long for its session. */
 #define ADMIT_MAX_US (1600 * CFS_US_PER_MS)
-/* A stopping host closes a session that rested for this time. */
-#define REST_US (300 * CFS_US_PER_MS)
 
 static const unsigned latency_bounds_ms[LATENCY_BUCKETS]
     = { 2, 5, 10, 20, 50, 100, 250, 500, 1000, 2500 };
@@ -550,7 +548,8 @@
 }
 
 void
-cfs_sessions_drain (struct cfs_sessions *ss, bool abandon, int64_t now)
+cfs_sessions_drain (struct cfs_sessions *ss, int64_t rest_us, bool abandon,
+                    int64_t now)
 {
   struct cfs_session *next;
 
@@ -559,7 +558,7 @@
       struct cfs_caller *caller = s->caller;
 
       next = s->next;
-      if (s->pending || s->op.phase != OP_NONE || now - s->rested_at < REST_US
+      if (s->pending || s->op.phase != OP_NONE || now - s->rested_at < rest_us
           || (s->state != TX_IDLE && !abandon))
         continue;
       session_abandon (s, now);
--- a/src/connection/session.h
+++ b/src/connection/session.h
@@ -40,10 +40,11 @@
 
 /**
  * cfs_sessions_drain() - ends sessions as they come to rest
+ * @rest_us: time without a statement that counts as rest
  * @abandon: also gives up transactions that are open
  */
-void cfs_sessions_drain (struct cfs_sessions *sessions, bool abandon,
-                         int64_t now);
+void cfs_sessions_drain (struct cfs_sessions *sessions, int64_t rest_us,
+                         bool abandon, int64_t now);
 
 /** cfs_sessions_refuse() - takes no new sessions from here on */
 void cfs_sessions_refuse (struct cfs_sessions *sessions);
--- a/src/process/front.c
+++ b/src/process/front.c
@@ -34,6 +34,9 @@
 #define CLOSE_RESTING_PART 0.17
 #define REFUSE_NEW_PART 0.42
 #define ABANDON_PART 0.5
+/* A stopping host closes a session that rested for this time at first, and
+   any session at rest later. */
+#define REST_US (300 * CFS_US_PER_MS)
 /* Left at the end of the stop time for the process itself. */
 #define STOP_SPARE_US (700 * CFS_US_PER_MS)
 
@@ -309,28 +312,32 @@
   log_ready (f);
 }
 
+/* One turn of a planned stop.  Returns whether nothing is left to do. */
+static bool
+drain_turn (struct cfs_front *f, double part)
+{
+  turn (f);
+  if (part > REFUSE_NEW_PART)
+    cfs_sessions_refuse (f->sessions);
+  if (part > CLOSE_RESTING_PART)
+    cfs_sessions_drain (f->sessions, part > REFUSE_NEW_PART ? 0 : REST_US,
+                        part > ABANDON_PART, cfs_now ());
+  return part > REFUSE_NEW_PART && cfs_sessions_open (f->sessions) == 0;
+}
+
 static void
 drain (struct cfs_front *f)
 {
   int64_t whole = (int64_t)f->settings->stop_seconds * CFS_US_PER_S;
   int64_t started = cfs_now ();
   int64_t since = 0;
+  bool done = false;
 
   f->draining = true;
-  while (since < whole - STOP_SPARE_US)
+  while (!done && since < whole - STOP_SPARE_US)
     {
-      turn (f);
+      done = drain_turn (f, (double)since / (double)whole);
       since = cfs_now () - started;
-      if (since > (int64_t)((double)whole * REFUSE_NEW_PART))
-        {
-          cfs_sessions_refuse (f->sessions);
-          if (cfs_sessions_open (f->sessions) == 0)
-            break;
-        }
-      if (since > (int64_t)((double)whole * CLOSE_RESTING_PART))
-        cfs_sessions_drain (f->sessions,
-                            since > (int64_t)((double)whole * ABANDON_PART),
-                            cfs_now ());
     }
 }
 
--- a/src/process/leader.c
+++ b/src/process/leader.c
@@ -15,6 +15,10 @@
 #include <string.h>
 
 #define ASSIGN_BATCH 256
+/* A host that was silent for this time holds no share any more. */
+#define HOST_DROP_US (20 * CFS_US_PER_S)
+/* Pause between proposals about the same host. */
+#define RECORD_AGAIN_US (500 * CFS_US_PER_MS)
 
 static uint64_t
 propose (struct cfs_leader *l, const Cfs__Command *c)
@@ -243,9 +247,74 @@
   l->releases.count = 0;
   l->assign_index = 0;
   l->grace_end = now + LEASE_WAIT_US;
+  l->led_since = now;
   cfs_shares_start (&l->shares, now + l->share_wait_us);
 }
 
+/* Records a host before it is given shares, and drops a silent one. */
+static void
+propose_host (struct cfs_leader *l, const char *name, bool gone)
+{
+  Cfs__Command c = CFS__COMMAND__INIT;
+  Cfs__HostRecord m = CFS__HOST_RECORD__INIT;
+
+  m.name = (char *)name;
+  m.gone = gone;
+  c.body_case = CFS__COMMAND__BODY_HOST;
+  c.host = &m;
+  propose (l, &c);
+}
+
+static void
+record_host (struct cfs_leader *l, struct cfs_host *h, int64_t now)
+{
+  if (!l->edge || cfs_table_find (&l->state->hosts, h->name)
+      || now - h->recorded_at < RECORD_AGAIN_US)
+    return;
+  h->recorded_at = now;
+  propose_host (l, h->name, false);
+}
+
+/* Once every recorded host has told what it holds, no share of an earlier
+   leader is unknown any more. */
+static void
+check_holders (struct cfs_leader *l, int64_t now)
+{
+  const struct cfs_table *hosts = &l->state->hosts;
+
+  if (!l->edge || now - l->holders_at < RECORD_AGAIN_US)
+    return;
+  l->holders_at = now;
+  for (size_t i = 0; i < hosts->count; i++)
+    {
+      const struct cfs_host_record *r = cfs_table_at (hosts, i);
+      const struct cfs_host *h = cfs_table_find (&l->hosts, r->name);
+      int64_t seen = h ? h->seen_at : l->led_since;
+
+      if (now - seen > HOST_DROP_US)
+        {
+          propose_host (l, r->name, true);
+          return;
+        }
+    }
+}
+
+static bool
+holders_told (const struct cfs_leader *l)
+{
+  const struct cfs_table *hosts = &l->state->hosts;
+
+  for (size_t i = 0; i < hosts->count; i++)
+    {
+      const struct cfs_host_record *r = cfs_table_at (hosts, i);
+      const struct cfs_host *h = cfs_table_find (&l->hosts, r->name);
+
+      if (!h || !h->told_uses)
+        return false;
+    }
+  return hosts->count > 0;
+}
+
 static void
 forget_silent (struct cfs_leader *l, int64_t now)
 {
@@ -331,6 +400,7 @@
   h->suspect_count = 0;
   for (size_t i = 0; i < in->n_suspects && i < HOST_SUSPECTS_MAX; i++)
     cfs_copy (h->suspects[h->suspect_count++], CFS_NAME_MAX, in->suspects[i]);
+  h->told_uses |= in->n_uses > 0;
   h->seen_at = now;
   return h;
 }
@@ -406,6 +476,9 @@
     return;
   reload_conf (l);
   forget_silent (l, now);
+  check_holders (l, now);
+  if (holders_told (l))
+    cfs_shares_trust (&l->shares);
   discover_groups (l, now);
   place_resources (l, now);
 }
@@ -419,6 +492,7 @@
   if (!l->leading || !*in->host)
     return NULL;
   h = note_host (l, in, now);
+  record_host (l, h, now);
   note_releases (l, in);
   for (size_t i = 0; i < in->n_instances; i++)
     note_instance (l, in->instances[i], now);
--- a/src/process/leader.h
+++ b/src/process/leader.h
@@ -61,6 +61,8 @@
   bool draining;
   char suspects[HOST_SUSPECTS_MAX][CFS_NAME_MAX];
   size_t suspect_count;
+  bool told_uses;
+  int64_t recorded_at;
 };
 
 /** struct cfs_instance - what the leader knows of one target instance */
--- a/src/process/leader_int.h
+++ b/src/process/leader_int.h
@@ -69,6 +69,8 @@
   bool read;
   uint64_t read_version;
   int64_t share_wait_us;
+  int64_t led_since;
+  int64_t holders_at;
   struct cfs_shares shares;
   struct cfs_members members;
 };
--- a/src/process/leader_reply.c
+++ b/src/process/leader_reply.c
@@ -195,7 +195,7 @@
   struct reply_rows *rows = &l->rows;
   const struct cfs_catalog *c = l->catalog;
 
-  if (!c || !in->n_uses)
+  if (!c || !in->n_uses || !cfs_table_find (&l->state->hosts, in->host))
     return;
   reserve (&rows->shares, &rows->share_list, &rows->share_cap, c->team_count,
            sizeof *rows->shares);
--- a/src/process/shares.c
+++ b/src/process/shares.c
@@ -59,6 +59,12 @@
   s->grace_end = grace_end;
 }
 
+void
+cfs_shares_trust (struct cfs_shares *s)
+{
+  s->grace_end = 0;
+}
+
 static struct team_row *
 row_of (struct cfs_shares *s, const char *team)
 {
--- a/src/process/shares.h
+++ b/src/process/shares.h
@@ -38,6 +38,9 @@
  */
 void cfs_shares_start (struct cfs_shares *shares, int64_t grace_end);
 
+/** cfs_shares_trust() - no share of an earlier leader is unknown any more */
+void cfs_shares_trust (struct cfs_shares *shares);
+
 /**
  * cfs_shares_settle() - the share of one host
  * @rate: rate of the team, operations a second
--- a/src/process/state.c
+++ b/src/process/state.c
@@ -193,6 +193,19 @@
   s->version_count = 0;
 }
 
+static void
+apply_host (struct cfs_state *s, const Cfs__HostRecord *h)
+{
+  if (*h->name && !h->gone)
+    cfs_table_add (&s->hosts, h->name);
+  for (size_t i = 0; h->gone && i < s->hosts.count; i++)
+    if (strcmp (cfs_table_at (&s->hosts, i), h->name) == 0)
+      {
+        cfs_table_remove (&s->hosts, i);
+        return;
+      }
+}
+
 void
 cfs_state_init (struct cfs_state *s)
 {
@@ -202,6 +215,7 @@
   cfs_table_init (&s->groups, sizeof (struct cfs_group));
   cfs_table_init (&s->targets, sizeof (struct cfs_target));
   cfs_table_init (&s->turns, sizeof (struct cfs_turn));
+  cfs_table_init (&s->hosts, sizeof (struct cfs_host_record));
 }
 
 void
@@ -218,6 +232,7 @@
   cfs_table_end (&s->groups);
   cfs_table_end (&s->targets);
   cfs_table_end (&s->turns);
+  cfs_table_end (&s->hosts);
 }
 
 int
@@ -249,6 +264,9 @@
       if (cfs_targets_apply (&s->targets, c->target, index))
         s->directory = index;
       break;
+    case CFS__COMMAND__BODY_HOST:
+      apply_host (s, c->host);
+      break;
     case CFS__COMMAND__BODY_TURN:
       if (cfs_turns_apply (&s->turns, c->turn, index))
         s->directory = index;
@@ -341,6 +359,7 @@
   Cfs__Target **target_list;
   Cfs__Turn *turns;
   Cfs__Turn **turn_list;
+  char **hosts;
 };
 
 static void
@@ -362,6 +381,7 @@
   im->target_list = cfs_alloc (s->targets.count * sizeof (void *));
   im->turns = cfs_alloc (s->turns.count * sizeof *im->turns);
   im->turn_list = cfs_alloc (s->turns.count * sizeof (void *));
+  im->hosts = cfs_alloc (s->hosts.count * sizeof (void *));
 }
 
 static void
@@ -381,6 +401,7 @@
   free (im->target_list);
   free (im->turns);
   free (im->turn_list);
+  free (im->hosts);
 }
 
 static void
@@ -431,6 +452,8 @@
       cfs_turn_message (cfs_table_at (&s->turns, i), &im->turns[i]);
       im->turn_list[i] = &im->turns[i];
     }
+  for (size_t i = 0; i < s->hosts.count; i++)
+    im->hosts[i] = cfs_table_at (&s->hosts, i);
 }
 
 void
@@ -469,6 +492,8 @@
   m.n_targets = s->targets.count;
   m.turns = im.turn_list;
   m.n_turns = s->turns.count;
+  m.hosts = im.hosts;
+  m.n_hosts = s->hosts.count;
   len = cfs__snapshot__get_packed_size (&m);
   *data = cfs_alloc (len);
   cfs__snapshot__pack (&m, *data);
@@ -508,6 +533,8 @@
   for (size_t i = 0; i < m->n_turns; i++)
     cfs_turn_load (cfs_table_add (&s->turns, m->turns[i]->service),
                    m->turns[i]);
+  for (size_t i = 0; i < m->n_hosts; i++)
+    cfs_table_add (&s->hosts, m->hosts[i]);
   cfs__snapshot__free_unpacked (m, NULL);
   return CFS_OK;
 }
--- a/src/process/state.h
+++ b/src/process/state.h
@@ -74,6 +74,12 @@
   char *message;
 };
 
+/** struct cfs_host_record - a host that may hold shares of the rates */
+struct cfs_host_record
+{
+  char name[CFS_NAME_MAX];
+};
+
 /** struct cfs_state - everything replicated */
 struct cfs_state
 {
@@ -90,6 +96,7 @@
   struct cfs_table groups;
   struct cfs_table targets;
   struct cfs_table turns;
+  struct cfs_table hosts;
 };
 
 /** cfs_state_init() - state of an empty log: version 0, document "{}" */
--- a/src/process/succession.c
+++ b/src/process/succession.c
@@ -36,7 +36,7 @@
 /* Connections in a row that failed before a primary counts as down. */
 #define FAILURES_MAX 2
 /* Hosts must go on to suspect a primary that answers for this time. */
-#define SUSPECTED_US (300 * CFS_US_PER_MS)
+#define SUSPECTED_US (500 * CFS_US_PER_MS)
 /* Pause before the next attempt. */
 #define RETRY_US (200 * CFS_US_PER_MS)
 /* No change starts for this time after one has ended. */
@@ -44,7 +44,7 @@
 /* Parts of the hosts alive that must suspect a primary: one that the leader
    cannot reach either, and one that answers the leader. */
 #define SUSPECT_PART 0.25
-#define SUSPECT_ALONE_PART 0.5
+#define SUSPECT_ALONE_PART 0.25
 #define PROBES_MAX 16
 /* On whose behalf the leader connects. */
 #define TEAM "control"
@@ -332,7 +332,7 @@
   if (r->watch.failures >= FAILURES_MAX
       && (double)suspects >= SUSPECT_PART * (double)hosts)
     return "the primary takes no connections";
-  if (hosts < 2 || (double)suspects < SUSPECT_ALONE_PART * (double)hosts)
+  if (suspects < 2 || (double)suspects < SUSPECT_ALONE_PART * (double)hosts)
     r->suspected_at = 0;
   else if (!r->suspected_at)
     r->suspected_at = now;
--- a/src/process/wire.pb-c.c
+++ b/src/process/wire.pb-c.c
@@ -1132,6 +1132,51 @@
   assert(message->base.descriptor == &cfs__document__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfs__host_record__init
+                     (Cfs__HostRecord         *message)
+{
+  static const Cfs__HostRecord init_value = CFS__HOST_RECORD__INIT;
+  *message = init_value;
+}
+size_t cfs__host_record__get_packed_size
+                     (const Cfs__HostRecord *message)
+{
+  assert(message->base.descriptor == &cfs__host_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfs__host_record__pack
+                     (const Cfs__HostRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfs__host_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfs__host_record__pack_to_buffer
+                     (const Cfs__HostRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfs__host_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfs__HostRecord *
+       cfs__host_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfs__HostRecord *)
+     protobuf_c_message_unpack (&cfs__host_record__descriptor,
+                                allocator, len, data);
+}
+void   cfs__host_record__free_unpacked
+                     (Cfs__HostRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfs__host_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfs__command__init
                      (Cfs__Command         *message)
 {
@@ -4072,7 +4117,58 @@
   (ProtobufCMessageInit) cfs__document__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfs__command__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cfs__host_record__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__HostRecord, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__HostRecord, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfs__host_record__field_indices_by_name[] = {
+  1,   /* field[1] = gone */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange cfs__host_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cfs__host_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfs.HostRecord",
+  "HostRecord",
+  "Cfs__HostRecord",
+  "cfs",
+  sizeof(Cfs__HostRecord),
+  2,
+  cfs__host_record__field_descriptors,
+  cfs__host_record__field_indices_by_name,
+  1,  cfs__host_record__number_ranges,
+  (ProtobufCMessageInit) cfs__host_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfs__command__field_descriptors[8] =
 {
   {
     "patch",
@@ -4158,12 +4254,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "host",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__Command, body_case),
+    offsetof(Cfs__Command, host),
+    &cfs__host_record__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfs__command__field_indices_by_name[] = {
   1,   /* field[1] = assign */
   4,   /* field[4] = document */
   3,   /* field[3] = done */
   2,   /* field[2] = grant */
+  7,   /* field[7] = host */
   0,   /* field[0] = patch */
   5,   /* field[5] = target */
   6,   /* field[6] = turn */
@@ -4171,7 +4280,7 @@
 static const ProtobufCIntRange cfs__command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cfs__command__descriptor =
 {
@@ -4181,7 +4290,7 @@
   "Cfs__Command",
   "cfs",
   sizeof(Cfs__Command),
-  7,
+  8,
   cfs__command__field_descriptors,
   cfs__command__field_indices_by_name,
   1,  cfs__command__number_ranges,
@@ -4265,7 +4374,7 @@
   (ProtobufCMessageInit) cfs__patch_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfs__snapshot__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cfs__snapshot__field_descriptors[10] =
 {
   {
     "version",
@@ -4375,12 +4484,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hosts",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cfs__Snapshot, n_hosts),
+    offsetof(Cfs__Snapshot, hosts),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfs__snapshot__field_indices_by_name[] = {
   3,   /* field[3] = assignments */
   6,   /* field[6] = directory */
   1,   /* field[1] = document */
   4,   /* field[4] = groups */
+  9,   /* field[9] = hosts */
   5,   /* field[5] = results */
   7,   /* field[7] = targets */
   8,   /* field[8] = turns */
@@ -4390,7 +4512,7 @@
 static const ProtobufCIntRange cfs__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cfs__snapshot__descriptor =
 {
@@ -4400,7 +4522,7 @@
   "Cfs__Snapshot",
   "cfs",
   sizeof(Cfs__Snapshot),
-  9,
+  10,
   cfs__snapshot__field_descriptors,
   cfs__snapshot__field_indices_by_name,
   1,  cfs__snapshot__number_ranges,
--- a/src/process/wire.pb-c.h
+++ b/src/process/wire.pb-c.h
@@ -40,6 +40,7 @@
 typedef struct Cfs__TermDone Cfs__TermDone;
 typedef struct Cfs__Patch Cfs__Patch;
 typedef struct Cfs__Document Cfs__Document;
+typedef struct Cfs__HostRecord Cfs__HostRecord;
 typedef struct Cfs__Command Cfs__Command;
 typedef struct Cfs__PatchResult Cfs__PatchResult;
 typedef struct Cfs__Snapshot Cfs__Snapshot;
@@ -457,6 +458,20 @@
     , 0, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A host that may hold shares of the teams' rates.
+ */
+struct  Cfs__HostRecord
+{
+  ProtobufCMessage base;
+  char *name;
+  protobuf_c_boolean gone;
+};
+#define CFS__HOST_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfs__host_record__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 typedef enum {
   CFS__COMMAND__BODY__NOT_SET = 0,
   CFS__COMMAND__BODY_PATCH = 1,
@@ -465,7 +480,8 @@
   CFS__COMMAND__BODY_DONE = 4,
   CFS__COMMAND__BODY_DOCUMENT = 5,
   CFS__COMMAND__BODY_TARGET = 6,
-  CFS__COMMAND__BODY_TURN = 7
+  CFS__COMMAND__BODY_TURN = 7,
+  CFS__COMMAND__BODY_HOST = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFS__COMMAND__BODY__CASE)
 } Cfs__Command__BodyCase;
 
@@ -481,6 +497,7 @@
     Cfs__Document *document;
     Cfs__Target *target;
     Cfs__Turn *turn;
+    Cfs__HostRecord *host;
   };
 };
 #define CFS__COMMAND__INIT \
@@ -519,10 +536,12 @@
   Cfs__Target **targets;
   size_t n_turns;
   Cfs__Turn **turns;
+  size_t n_hosts;
+  char **hosts;
 };
 #define CFS__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfs__snapshot__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -1156,6 +1175,25 @@
 void   cfs__document__free_unpacked
                      (Cfs__Document *message,
                       ProtobufCAllocator *allocator);
+/* Cfs__HostRecord methods */
+void   cfs__host_record__init
+                     (Cfs__HostRecord         *message);
+size_t cfs__host_record__get_packed_size
+                     (const Cfs__HostRecord   *message);
+size_t cfs__host_record__pack
+                     (const Cfs__HostRecord   *message,
+                      uint8_t             *out);
+size_t cfs__host_record__pack_to_buffer
+                     (const Cfs__HostRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Cfs__HostRecord *
+       cfs__host_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfs__host_record__free_unpacked
+                     (Cfs__HostRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Cfs__Command methods */
 void   cfs__command__init
                      (Cfs__Command         *message);
@@ -1442,6 +1480,9 @@
 typedef void (*Cfs__Document_Closure)
                  (const Cfs__Document *message,
                   void *closure_data);
+typedef void (*Cfs__HostRecord_Closure)
+                 (const Cfs__HostRecord *message,
+                  void *closure_data);
 typedef void (*Cfs__Command_Closure)
                  (const Cfs__Command *message,
                   void *closure_data);
@@ -1506,6 +1547,7 @@
 extern const ProtobufCMessageDescriptor cfs__term_done__descriptor;
 extern const ProtobufCMessageDescriptor cfs__patch__descriptor;
 extern const ProtobufCMessageDescriptor cfs__document__descriptor;
+extern const ProtobufCMessageDescriptor cfs__host_record__descriptor;
 extern const ProtobufCMessageDescriptor cfs__command__descriptor;
 extern const ProtobufCMessageDescriptor cfs__patch_result__descriptor;
 extern const ProtobufCMessageDescriptor cfs__snapshot__descriptor;
