--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -393,6 +393,7 @@
     {
       g_clear_pointer (&a->uses, free_peer);
       a->uses = report;
+      a->next_at = 0;
       return;
     }
   if (a->report)
--- a/src/request/quota.c
+++ b/src/request/quota.c
@@ -18,6 +18,8 @@
 #define AHEAD_US (200 * CFS_US_PER_MS)
 /* An ask without an answer is given up after this time. */
 #define ANSWER_US (120 * CFS_US_PER_MS)
+/* Pause after an ask that was not granted in full. */
+#define DENIED_US (60 * CFS_US_PER_MS)
 /* Least depth of a bucket with a share, or no operation would ever pass. */
 #define DEPTH_MIN 1.0
 
@@ -179,7 +181,7 @@
 {
   const struct cfs_quota_row *r = cfs_table_find (&q->rows, team);
 
-  return r && r->denied_at > since;
+  return r && r->share > 0 && r->denied_at > since;
 }
 
 void
@@ -201,6 +203,8 @@
   uint32_t want = r->waiting;
   uint32_t have;
 
+  if (now < r->ask_after)
+    return 0;
   if (now >= r->due_until)
     r->due = 0;
   if (want && ahead >= 1)
@@ -222,7 +226,10 @@
   struct cfs_quota_grant *g = &r->grants[r->next_grant];
 
   if (count < r->due)
-    r->denied_at = sent_at;
+    {
+      r->denied_at = sent_at;
+      r->ask_after = sent_at + DENIED_US;
+    }
   r->due = 0;
   if (count == 0)
     return;
--- a/src/request/quota.h
+++ b/src/request/quota.h
@@ -39,6 +39,7 @@
   uint32_t due;
   int64_t due_until;
   int64_t denied_at;
+  int64_t ask_after;
   uint64_t granted;
   uint64_t refused;
 };
@@ -86,7 +87,8 @@
  * cfs_quota_denied() - whether the team has no room now
  * @since: when an operation began to wait
  *
- * True when an ask that was sent after @since was not granted in full.
+ * True when an ask that was sent after @since was not granted in full, and
+ * this host has a share: without one the leader may not know enough yet.
  */
 bool cfs_quota_denied (struct cfs_quota *quota, const char *team,
                        int64_t since);
