Statements that no instance has are held for 90% of their time-out

Cause: while a primary is replaced (0.5 to 2 s) statements were refused after half of their time-out, and the callers' two repeats were used up. Ruled out: holding beyond the time-out of the route. Change: held up to 90% of the route's time-out, then refused as not run; a new control leader may replace a primary 0.8 s after it took over.

--- a/src/connection/session.c
+++ b/src/connection/session.c
@@ -15,7 +15,7 @@
 
 #define PART "session"
 /* A statement that no instance has yet is held for this part of its time. */
-#define HOLD_DIVISOR 2
+#define HOLD_PERCENT 90
 /* A caller waits at most this long for its session. */
 #define ADMIT_MAX_US (1600 * CFS_US_PER_MS)
 
@@ -337,7 +337,7 @@
 start_op (struct cfs_session *s, enum op_phase phase, int64_t now)
 {
   s->op.phase = phase;
-  s->op.hold_until = now + s->route.timeout_us / HOLD_DIVISOR;
+  s->op.hold_until = now + s->route.timeout_us * HOLD_PERCENT / 100;
   s->op.deadline = now + s->route.timeout_us;
   session_run (s, now);
 }
--- a/src/process/succession.c
+++ b/src/process/succession.c
@@ -22,7 +22,7 @@
 /* Without hosts that suspect it, too, for this time. */
 #define SILENT_ALONE_US (3500 * CFS_US_PER_MS)
 /* A leader waits this long after it took over, to hear from all. */
-#define SETTLE_US (1500 * CFS_US_PER_MS)
+#define SETTLE_US (800 * CFS_US_PER_MS)
 /* Time for all replicas to be paused. */
 #define PAUSE_MAX_US (900 * CFS_US_PER_MS)
 /* Time for the log to commit a token. */
