A new leader's bucket starts with what nobody used; votes are asked sooner

Ruled out: a bucket that starts full (a team could get more than its rate and burst over a change of leader). Change: hosts without a share report for how long nothing passed; once all recorded hosts have told, the bucket is credited with that time. Questions for votes are repeated after 150 to 300 ms.

--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -21,6 +21,8 @@
 #define HTTP_UNAVAILABLE 503
 /* Time between heartbeats while targets are out of reach. */
 #define HEARTBEAT_SUSPECT_US (100 * CFS_US_PER_MS)
+/* Silence of the control group that is told. */
+#define LOST_US (1500 * CFS_US_PER_MS)
 /* Control hosts that are kept in mind: members and seeds. */
 #define PEERS_MAX 24
 
@@ -44,6 +46,8 @@
   int64_t sent_at;
   int64_t next_at;
   bool answered;
+  bool lost;
+  int64_t heard_at;
   struct cfs_peer peers[PEERS_MAX];
   size_t peer_count;
   size_t leader;
@@ -174,6 +178,29 @@
   return list;
 }
 
+/* One line when the control group stops answering, and one when it is back.
+ */
+static void
+note_lost (struct cfs_agent *a, int64_t now)
+{
+  if (a->lost || now - a->heard_at < LOST_US)
+    return;
+  a->lost = true;
+  cfs_log (CFS_WARNING, PART,
+           "control group lost, last asked host=%s silent_ms=%" PRId64,
+           a->peers[a->leader].host, (now - a->heard_at) / CFS_US_PER_MS);
+}
+
+static void
+note_heard (struct cfs_agent *a, int64_t now)
+{
+  if (a->lost)
+    cfs_log (CFS_NOTICE, PART, "control group is back, leader=%s",
+             a->peers[a->leader].host);
+  a->lost = false;
+  a->heard_at = now;
+}
+
 static void
 send_heartbeat (struct cfs_agent *a, int64_t now)
 {
@@ -181,7 +208,10 @@
   Cfs__Heartbeat h = CFS__HEARTBEAT__INIT;
 
   if (!a->answered && a->seq)
-    try_next_host (a);
+    {
+      note_lost (a, now);
+      try_next_host (a);
+    }
   h.host = (char *)a->settings->host;
   h.zone = (char *)a->settings->zone;
   h.address = (char *)a->settings->address;
@@ -206,6 +236,7 @@
     {
       h.uses = a->uses->heartbeat->uses;
       h.n_uses = a->uses->heartbeat->n_uses;
+      h.idle_us = a->uses->heartbeat->idle_us;
     }
   h.members_hash = a->members_hash;
   h.instances = collect_news (a, &h.n_instances);
@@ -286,6 +317,7 @@
   a->answered = true;
   if (*r->leader || !take_versions (a, r))
     return;
+  note_heard (a, now);
   if (r->directory > a->directory)
     a->directory = r->directory;
   take_members (a, r);
--- a/src/process/front.c
+++ b/src/process/front.c
@@ -96,7 +96,7 @@
   f->settings = settings;
   f->suspects_hash = 1;
   cfs_fleet_init (&f->fleet, settings, &document_edge);
-  cfs_quota_init (&f->quota);
+  cfs_quota_init (&f->quota, cfs_now ());
   apr_pool_create (&f->apr, NULL);
   f->loop = cfs_loop_new (f->apr);
   f->pair = cfs_pair_new (zmq, TRAFFIC_ENDPOINT, false, f->loop);
@@ -205,6 +205,7 @@
       rows[i].share = now < f->quota.until ? q->share : 0;
       h.uses[h.n_uses++] = &rows[i];
     }
+  h.idle_us = now - f->quota.used_at;
   out.body_case = CFS__PEER__BODY_HEARTBEAT;
   out.heartbeat = &h;
   cfs_pair_send (f->pair, &out);
--- a/src/process/leader.c
+++ b/src/process/leader.c
@@ -300,10 +300,11 @@
 }
 
 static bool
-holders_told (const struct cfs_leader *l)
+holders_told (const struct cfs_leader *l, int64_t *idle_since)
 {
   const struct cfs_table *hosts = &l->state->hosts;
 
+  *idle_since = 0;
   for (size_t i = 0; i < hosts->count; i++)
     {
       const struct cfs_host_record *r = cfs_table_at (hosts, i);
@@ -311,6 +312,8 @@
 
       if (!h || !h->told_uses)
         return false;
+      if (h->idle_since > *idle_since)
+        *idle_since = h->idle_since;
     }
   return hosts->count > 0;
 }
@@ -378,6 +381,20 @@
   propose (l, &c);
 }
 
+/* A host that holds no share has let nothing pass since it was last used,
+   and will not before it gets one. */
+static void
+note_uses (struct cfs_host *h, const Cfs__Heartbeat *in, int64_t now)
+{
+  if (in->n_uses == 0 || h->told_uses)
+    return;
+  h->told_uses = true;
+  h->idle_since = now - in->idle_us;
+  for (size_t i = 0; i < in->n_uses; i++)
+    if (in->uses[i]->share > 0)
+      h->idle_since = now;
+}
+
 static struct cfs_host *
 note_host (struct cfs_leader *l, const Cfs__Heartbeat *in, int64_t now)
 {
@@ -400,7 +417,7 @@
   h->suspect_count = 0;
   for (size_t i = 0; i < in->n_suspects && i < HOST_SUSPECTS_MAX; i++)
     cfs_copy (h->suspects[h->suspect_count++], CFS_NAME_MAX, in->suspects[i]);
-  h->told_uses |= in->n_uses > 0;
+  note_uses (h, in, now);
   h->seen_at = now;
   return h;
 }
@@ -468,6 +485,8 @@
 cfs_leader_tick (struct cfs_leader *l, bool ready, uint64_t applied,
                  int64_t now)
 {
+  int64_t idle_since;
+
   l->applied = applied;
   if (ready && !l->leading)
     start_leading (l, now);
@@ -477,8 +496,8 @@
   reload_conf (l);
   forget_silent (l, now);
   check_holders (l, now);
-  if (holders_told (l))
-    cfs_shares_trust (&l->shares);
+  if (holders_told (l, &idle_since))
+    cfs_shares_trust (&l->shares, idle_since);
   discover_groups (l, now);
   place_resources (l, now);
 }
--- a/src/process/leader.h
+++ b/src/process/leader.h
@@ -62,6 +62,7 @@
   char suspects[HOST_SUSPECTS_MAX][CFS_NAME_MAX];
   size_t suspect_count;
   bool told_uses;
+  int64_t idle_since;
   int64_t recorded_at;
 };
 
--- a/src/process/raft.c
+++ b/src/process/raft.c
@@ -378,7 +378,9 @@
 {
   r->role = RAFT_PRECANDIDATE;
   r->leader = 0;
-  r->election_at = now + election_delay (r);
+  r->election_at
+      = now + RAFT_RETRY_US
+        + (int64_t)(cfs_random (&r->seed) % (uint64_t)RAFT_RETRY_US);
   ask_votes (r, MSG_PREVOTE, r->term + 1);
   if (won (r))
     start_vote (r, now);
--- a/src/process/raft.h
+++ b/src/process/raft.h
@@ -17,6 +17,8 @@
 #define RAFT_HEARTBEAT_US (100 * CFS_US_PER_MS)
 /* Least silence of the leader after which a voter may support another. */
 #define RAFT_ELECTION_US (500 * CFS_US_PER_MS)
+/* Least time between two questions whether a vote would be won. */
+#define RAFT_RETRY_US (150 * CFS_US_PER_MS)
 /* Allowance for the drift between two monotonic clocks, in percent. */
 #define RAFT_DRIFT_PERCENT 2
 /* Entries kept in the log before a snapshot replaces them. */
--- a/src/process/shares.c
+++ b/src/process/shares.c
@@ -34,6 +34,8 @@
   struct cfs_table hosts;
   double level;
   int64_t filled_at;
+  int64_t first_at;
+  bool credited;
 };
 
 void
@@ -41,6 +43,8 @@
 {
   cfs_table_init (&s->teams, sizeof (struct team_row));
   s->grace_end = 0;
+  s->idle_since = 0;
+  s->trusted = false;
 }
 
 void
@@ -60,9 +64,12 @@
 }
 
 void
-cfs_shares_trust (struct cfs_shares *s)
+cfs_shares_trust (struct cfs_shares *s, int64_t idle_since)
 {
   s->grace_end = 0;
+  if (!s->trusted)
+    s->idle_since = idle_since;
+  s->trusted = true;
 }
 
 static struct team_row *
@@ -145,19 +152,46 @@
   return fmax (depth, 1);
 }
 
+/* Tokens for the time before the bucket was first used in which nothing
+   passed anywhere.  The buckets of the shares were empty then as well, so
+   their part of the burst is here, but for the one token each starts with. */
+static void
+credit_idle (const struct cfs_shares *s, struct team_row *t, double rate,
+             double burst)
+{
+  double room = burst - (double)t->hosts.count;
+  double idle = rate * (double)(t->first_at - s->idle_since) / CFS_US_PER_S;
+
+  t->credited = true;
+  if (idle > 0)
+    t->level = fmax (t->level, fmin (t->level + idle, room));
+}
+
+static void
+fill_bucket (const struct cfs_shares *s, struct team_row *t, double rate,
+             double burst, int64_t now)
+{
+  double depth = bucket_depth (t, rate, burst);
+  double fresh;
+
+  if (!t->first_at)
+    t->first_at = t->filled_at = now;
+  fresh = rate * BUCKET_PART * (double)(now - t->filled_at) / CFS_US_PER_S;
+  t->filled_at = now;
+  if (t->level < depth)
+    t->level = fmin (t->level + fresh, depth);
+  if (s->trusted && !t->credited)
+    credit_idle (s, t, rate, burst);
+}
+
 uint32_t
 cfs_shares_grant (struct cfs_shares *s, const char *team, double rate,
                   double burst, uint32_t count, int64_t now)
 {
   struct team_row *t = row_of (s, team);
-  double depth = bucket_depth (t, rate, burst);
   uint32_t granted;
 
-  if (t->filled_at && now > t->filled_at)
-    t->level
-        += rate * BUCKET_PART * (double)(now - t->filled_at) / CFS_US_PER_S;
-  t->filled_at = now;
-  t->level = fmin (t->level, depth);
+  fill_bucket (s, t, rate, burst, now);
   granted = t->level < count ? (uint32_t)t->level : count;
   t->level -= granted;
   return granted;
--- a/src/process/shares.h
+++ b/src/process/shares.h
@@ -24,6 +24,8 @@
 {
   struct cfs_table teams;
   int64_t grace_end;
+  int64_t idle_since;
+  bool trusted;
 };
 
 /** cfs_shares_init() - no shares are out */
@@ -38,8 +40,11 @@
  */
 void cfs_shares_start (struct cfs_shares *shares, int64_t grace_end);
 
-/** cfs_shares_trust() - no share of an earlier leader is unknown any more */
-void cfs_shares_trust (struct cfs_shares *shares);
+/**
+ * cfs_shares_trust() - no share of an earlier leader is unknown any more
+ * @idle_since: nothing has passed at any host since then
+ */
+void cfs_shares_trust (struct cfs_shares *shares, int64_t idle_since);
 
 /**
  * cfs_shares_settle() - the share of one host
--- a/src/process/wire.pb-c.c
+++ b/src/process/wire.pb-c.c
@@ -2663,7 +2663,7 @@
   (ProtobufCMessageInit) cfs__release__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfs__heartbeat__field_descriptors[15] =
+static const ProtobufCFieldDescriptor cfs__heartbeat__field_descriptors[16] =
 {
   {
     "host",
@@ -2845,6 +2845,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "idle_us",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Heartbeat, idle_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfs__heartbeat__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -2852,6 +2864,7 @@
   7,   /* field[7] = directory */
   8,   /* field[8] = draining */
   0,   /* field[0] = host */
+  15,   /* field[15] = idle_us */
   11,   /* field[11] = instances */
   14,   /* field[14] = members_hash */
   3,   /* field[3] = port */
@@ -2866,7 +2879,7 @@
 static const ProtobufCIntRange cfs__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor cfs__heartbeat__descriptor =
 {
@@ -2876,7 +2889,7 @@
   "Cfs__Heartbeat",
   "cfs",
   sizeof(Cfs__Heartbeat),
-  15,
+  16,
   cfs__heartbeat__field_descriptors,
   cfs__heartbeat__field_indices_by_name,
   1,  cfs__heartbeat__number_ranges,
--- a/src/process/wire.pb-c.h
+++ b/src/process/wire.pb-c.h
@@ -235,10 +235,11 @@
   size_t n_suspects;
   char **suspects;
   uint64_t members_hash;
+  int64_t idle_us;
 };
 #define CFS__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfs__heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
--- a/src/request/quota.c
+++ b/src/request/quota.c
@@ -24,10 +24,11 @@
 #define DEPTH_MIN 1.0
 
 void
-cfs_quota_init (struct cfs_quota *q)
+cfs_quota_init (struct cfs_quota *q, int64_t now)
 {
   cfs_table_init (&q->rows, sizeof (struct cfs_quota_row));
   q->until = 0;
+  q->used_at = now;
 }
 
 void
@@ -160,6 +161,7 @@
   *wait_us = CFS_NEVER;
   if (take_token (r, now))
     {
+      q->used_at = now;
       r->granted++;
       return true;
     }
@@ -172,6 +174,7 @@
       return false;
     }
   r->level -= 1;
+  q->used_at = now;
   r->granted++;
   return true;
 }
--- a/src/request/quota.h
+++ b/src/request/quota.h
@@ -44,15 +44,19 @@
   uint64_t refused;
 };
 
-/** struct cfs_quota - owned by the traffic thread */
+/**
+ * struct cfs_quota - owned by the traffic thread
+ * @used_at: when an operation last passed, or this host started
+ */
 struct cfs_quota
 {
   struct cfs_table rows;
   int64_t until;
+  int64_t used_at;
 };
 
-/** cfs_quota_init() - no shares */
-void cfs_quota_init (struct cfs_quota *quota);
+/** cfs_quota_init() - no shares; nothing has passed here before @now */
+void cfs_quota_init (struct cfs_quota *quota, int64_t now);
 
 /** cfs_quota_end() - frees the rows */
 void cfs_quota_end (struct cfs_quota *quota);
--- a/tests/world/sessions.c
+++ b/tests/world/sessions.c
@@ -820,7 +820,7 @@
   w->faults = faults;
   cfs_copy (w->settings.zone, sizeof w->settings.zone, "near");
   cfs_fleet_init (&w->fleet, &w->settings, NULL);
-  cfs_quota_init (&w->quota);
+  cfs_quota_init (&w->quota, w->now);
   make_catalog (w, kind);
   give_shares (w);
   for (unsigned i = 0; i < WS_INSTANCES; i++)
