--- a/src/process/succession.c
+++ b/src/process/succession.c
@@ -527,7 +527,8 @@
                                                &best->status.received)
                        : 1;
 
-      if (!p->paused || order < 0 || (order == 0 && (best_stays || !stays)))
+      if (!p->paused || now - p->answered_at >= ANSWER_FRESH_US || order < 0
+          || (order == 0 && (best_stays || !stays)))
         continue;
       best = p;
       best_stays = stays;
