Members that join are passed on to the leader and not dropped at once

Change: a member that does not lead passes the question on, once; a new member's silence is counted from its addition.

--- a/src/process/raft.c
+++ b/src/process/raft.c
@@ -659,6 +659,7 @@
   r->applied = r->snap.index;
   r->seed = boot->seed ? boot->seed : 1;
   r->elastic = boot->elastic;
+  r->clock = now;
   r->heard_at = now;
   raft_reload_members (r);
   become_follower (r, 0, now);
@@ -681,6 +682,7 @@
 void
 cfs_raft_tick (struct cfs_raft *r, int64_t now)
 {
+  r->clock = now;
   if (!raft_member_by_id (r, r->id) && now >= r->joined_at)
     raft_send_join (r, now);
   if (r->role == RAFT_LEADER)
@@ -702,6 +704,7 @@
 void
 cfs_raft_receive (struct cfs_raft *r, const Cfs__RaftMsg *m, int64_t now)
 {
+  r->clock = now;
   if (m->to != r->id && m->type != MSG_JOIN)
     return;
   switch (m->type)
--- a/src/process/raft_int.h
+++ b/src/process/raft_int.h
@@ -52,6 +52,7 @@
   uint64_t members_index;
   struct raft_peer peers[RAFT_MEMBERS_MAX];
   uint64_t leader;
+  int64_t clock;
   int64_t heard_at;
   int64_t election_at;
   int64_t broadcast_at;
--- a/src/process/raft_member.c
+++ b/src/process/raft_member.c
@@ -89,7 +89,7 @@
       else
         {
           kept[i].next = raft_last_index (r) + 1;
-          kept[i].acked_at = r->heard_at;
+          kept[i].acked_at = r->clock;
         }
       kept[i].id = members->at[i].id;
     }
@@ -174,6 +174,20 @@
   return false;
 }
 
+/* A host that joins may know only members that do not lead: these pass its
+   question on, once. */
+static void
+forward_join (const struct cfs_raft *r, const Cfs__RaftMsg *m)
+{
+  const struct cfs_member *leader = raft_member_by_id (r, r->leader);
+  Cfs__RaftMsg copy = *m;
+
+  if (!r->elastic || !leader || r->leader == r->id || m->round > 0)
+    return;
+  copy.round = 1;
+  r->ops->send (r->ctx, leader->host, &copy);
+}
+
 /* A new identity of a known host first pushes out the old one, then comes in
    as a learner; each step waits until the one before is committed, and no
    second repair starts while a learner is there. */
@@ -183,6 +197,8 @@
   struct cfs_members next = r->members;
   size_t i;
 
+  if (r->role != RAFT_LEADER)
+    forward_join (r, m);
   if (!may_change (r) || raft_member_by_id (r, m->from))
     return;
   for (i = 0; i < next.count; i++)
--- /dev/null
+++ b/tests/unit/members.c
@@ -0,0 +1,559 @@
+/*
+ * Members that find one another: machines replaced at another address or
+ * with an empty disk, planned stops, more machines than voters.  The log
+ * goes on and nothing committed is lost, as long as one member is lost at a
+ * time and each repair has its four seconds.
+ */
+#include "../../src/process/raft.h"
+#include "../world/seeds.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define HOSTS 6
+#define SEEDS_COUNT 3
+#define STEP_US (5 * CFS_US_PER_MS)
+#define REPAIR_US (4500 * CFS_US_PER_MS)
+#define MESSAGES 2048
+#define VALUES 4096
+
+struct world;
+
+struct member
+{
+  struct world *world;
+  unsigned index;
+  bool up;
+  uint64_t id;
+  uint64_t term;
+  uint64_t vote;
+  struct cfs_entry log[VALUES];
+  size_t count;
+  struct cfs_snapshot snapshot;
+  struct cfs_raft *raft;
+  uint64_t applied;
+};
+
+struct message
+{
+  uint8_t *data;
+  size_t len;
+  int64_t at;
+  unsigned to;
+};
+
+struct world
+{
+  int64_t now;
+  uint64_t seed;
+  struct member members[HOSTS];
+  struct message messages[MESSAGES];
+  size_t count;
+  uint64_t values[VALUES];
+  uint64_t committed;
+  uint64_t proposed;
+  const char *fault;
+};
+
+static uint64_t
+draw (struct world *w, uint64_t bound)
+{
+  return cfs_random (&w->seed) % bound;
+}
+
+static int
+save_vote (void *ctx, uint64_t term, uint64_t vote)
+{
+  struct member *m = ctx;
+
+  m->term = term;
+  m->vote = vote;
+  return CFS_OK;
+}
+
+static struct cfs_entry
+copy_entry (const struct cfs_entry *from)
+{
+  struct cfs_entry e = *from;
+
+  e.data = cfs_alloc (e.len + 1);
+  if (e.len)
+    memcpy (e.data, from->data, e.len);
+  return e;
+}
+
+static int
+append (void *ctx, const struct cfs_entry *entries, size_t count)
+{
+  struct member *m = ctx;
+
+  for (size_t i = 0; i < count && m->count < VALUES; i++)
+    m->log[m->count++] = copy_entry (&entries[i]);
+  return CFS_OK;
+}
+
+static int
+truncate_log (void *ctx, uint64_t from)
+{
+  struct member *m = ctx;
+
+  while (m->count && m->log[m->count - 1].index >= from)
+    free (m->log[--m->count].data);
+  return CFS_OK;
+}
+
+static void
+copy_snapshot (struct cfs_snapshot *to, const struct cfs_snapshot *from)
+{
+  *to = *from;
+  to->data = cfs_alloc (from->len + 1);
+  if (from->len)
+    memcpy (to->data, from->data, from->len);
+}
+
+static int
+save_snapshot (void *ctx, const struct cfs_snapshot *s)
+{
+  struct member *m = ctx;
+  size_t kept = 0;
+
+  free (m->snapshot.data);
+  copy_snapshot (&m->snapshot, s);
+  for (size_t i = 0; i < m->count; i++)
+    if (m->log[i].index <= s->index)
+      free (m->log[i].data);
+    else
+      m->log[kept++] = m->log[i];
+  m->count = kept;
+  return CFS_OK;
+}
+
+static void
+send_message (void *ctx, const char *host, const Cfs__RaftMsg *msg)
+{
+  struct member *m = ctx;
+  struct world *w = m->world;
+  struct message *out;
+
+  if (w->count == MESSAGES)
+    return;
+  out = &w->messages[w->count++];
+  out->len = cfs__raft_msg__get_packed_size (msg);
+  out->data = cfs_alloc (out->len + 1);
+  cfs__raft_msg__pack (msg, out->data);
+  out->at = w->now + 500 + (int64_t)draw (w, 20000);
+  out->to = (unsigned)(host[1] - '1');
+}
+
+/* A value is its own number; the order is the same at every member. */
+static void
+note_value (struct member *m, uint64_t value)
+{
+  struct world *w = m->world;
+
+  m->applied++;
+  if (m->applied > w->committed)
+    w->values[w->committed++] = value;
+  else if (w->values[m->applied - 1] != value)
+    w->fault = "a committed value changed";
+}
+
+static void
+apply (void *ctx, const struct cfs_entry *e)
+{
+  uint64_t value;
+
+  memcpy (&value, e->data, sizeof value);
+  note_value (ctx, value);
+}
+
+static void
+restore (void *ctx, const uint8_t *data, size_t len)
+{
+  struct member *m = ctx;
+
+  m->applied = 0;
+  for (size_t i = 0; i < len / sizeof (uint64_t); i++)
+    {
+      uint64_t value;
+
+      memcpy (&value, data + i * sizeof value, sizeof value);
+      note_value (m, value);
+    }
+}
+
+static size_t
+image (void *ctx, uint8_t **data)
+{
+  struct member *m = ctx;
+  size_t len = m->applied * sizeof (uint64_t);
+
+  *data = cfs_alloc (len + 1);
+  memcpy (*data, m->world->values, len);
+  return len;
+}
+
+static const struct cfs_raft_ops ops
+    = { save_vote,    append, truncate_log, save_snapshot,
+        send_message, apply,  restore,      image };
+
+static void
+first_members (struct cfs_members *list)
+{
+  list->count = SEEDS_COUNT;
+  for (unsigned i = 0; i < SEEDS_COUNT; i++)
+    {
+      list->at[i].id = 100 + i;
+      list->at[i].voter = true;
+      snprintf (list->at[i].host, CFS_NAME_MAX, "c%u", i + 1);
+    }
+}
+
+static void
+start (struct world *w, unsigned i)
+{
+  struct member *m = &w->members[i];
+  struct cfs_raft_boot boot = { .elastic = true,
+                                .id = m->id,
+                                .term = m->term,
+                                .vote = m->vote,
+                                .count = m->count,
+                                .seed = cfs_random (&w->seed) };
+  char name[8];
+
+  snprintf (name, sizeof name, "c%u", i + 1);
+  copy_snapshot (&boot.snapshot, &m->snapshot);
+  if (boot.snapshot.members.count == 0)
+    first_members (&boot.snapshot.members);
+  boot.entries = cfs_alloc ((m->count + 1) * sizeof *boot.entries);
+  for (size_t k = 0; k < m->count; k++)
+    boot.entries[k] = copy_entry (&m->log[k]);
+  m->applied = 0;
+  m->up = true;
+  m->raft = cfs_raft_new (&ops, m, &boot, name, w->now);
+}
+
+static void
+stop (struct world *w, unsigned i)
+{
+  struct member *m = &w->members[i];
+
+  if (!m->up)
+    return;
+  m->up = false;
+  cfs_raft_free (m->raft);
+}
+
+static void
+wipe (struct world *w, unsigned i)
+{
+  struct member *m = &w->members[i];
+
+  truncate_log (m, 0);
+  free (m->snapshot.data);
+  memset (&m->snapshot, 0, sizeof m->snapshot);
+  m->term = m->vote = 0;
+  m->id = cfs_random (&w->seed) | 1;
+}
+
+static struct world *
+new_world (uint64_t seed)
+{
+  struct world *w = cfs_alloc (sizeof *w);
+
+  w->seed = seed * UINT64_C (0x9E3779B97F4A7C15) + 1;
+  w->now = CFS_US_PER_S;
+  for (unsigned i = 0; i < HOSTS; i++)
+    {
+      w->members[i].world = w;
+      w->members[i].index = i;
+      w->members[i].id = 100 + i;
+    }
+  for (unsigned i = 0; i < SEEDS_COUNT; i++)
+    {
+      first_members (&w->members[i].snapshot.members);
+      start (w, i);
+    }
+  return w;
+}
+
+static void
+free_world (struct world *w)
+{
+  for (unsigned i = 0; i < HOSTS; i++)
+    {
+      stop (w, i);
+      wipe (w, i);
+    }
+  for (size_t i = 0; i < w->count; i++)
+    free (w->messages[i].data);
+  free (w);
+}
+
+static int
+leader (struct world *w)
+{
+  for (unsigned i = 0; i < HOSTS; i++)
+    if (w->members[i].up && cfs_raft_ready (w->members[i].raft, w->now))
+      return (int)i;
+  return -1;
+}
+
+static void
+propose (struct world *w)
+{
+  int l = leader (w);
+  uint64_t value = w->proposed + 1;
+
+  if (l >= 0 && w->proposed < VALUES / 2
+      && cfs_raft_propose (w->members[l].raft, (uint8_t *)&value, sizeof value,
+                           w->now, NULL)
+             == CFS_OK)
+    w->proposed++;
+}
+
+/* Messages that are sent while others are handed over wait for the next
+   step: the list is taken first. */
+static void
+step (struct world *w)
+{
+  static struct message taken[MESSAGES];
+  size_t count = w->count;
+
+  w->now += STEP_US;
+  memcpy (taken, w->messages, count * sizeof taken[0]);
+  w->count = 0;
+  for (size_t i = 0; i < count; i++)
+    if (w->now < taken[i].at && w->count < MESSAGES)
+      w->messages[w->count++] = taken[i];
+  for (size_t i = 0; i < count; i++)
+    if (w->now >= taken[i].at)
+      {
+        if (taken[i].to < HOSTS && w->members[taken[i].to].up)
+          {
+            Cfs__RaftMsg *msg
+                = cfs__raft_msg__unpack (NULL, taken[i].len, taken[i].data);
+
+            cfs_raft_receive (w->members[taken[i].to].raft, msg, w->now);
+            cfs__raft_msg__free_unpacked (msg, NULL);
+          }
+        free (taken[i].data);
+      }
+  for (unsigned i = 0; i < HOSTS; i++)
+    if (w->members[i].up)
+      cfs_raft_tick (w->members[i].raft, w->now);
+  if (draw (w, 20) == 0)
+    propose (w);
+}
+
+static void
+run (struct world *w, int64_t us)
+{
+  int64_t until = w->now + us;
+
+  while (w->now < until && !w->fault)
+    step (w);
+}
+
+static size_t
+voters (struct world *w)
+{
+  int l = leader (w);
+  const struct cfs_members *m;
+  size_t count = 0;
+
+  if (l < 0)
+    return 0;
+  m = cfs_raft_members (w->members[l].raft);
+  for (size_t i = 0; i < m->count; i++)
+    count += m->at[i].voter;
+  return count;
+}
+
+/* A planned stop: the member runs on until its replacement has its vote. */
+static void
+leave (struct world *w, unsigned i)
+{
+  int64_t until = w->now + 2500 * CFS_US_PER_MS;
+
+  while (w->now < until && cfs_raft_leave (w->members[i].raft, w->now))
+    step (w);
+  stop (w, i);
+}
+
+static void
+assert_goes_on (struct world *w)
+{
+  uint64_t before = w->committed;
+
+  run (w, 3 * CFS_US_PER_S);
+  assert_null (w->fault);
+  assert_true (w->committed > before);
+}
+
+/* The day that found it: a member goes for good, the next loses its disk. */
+static void
+a_disk_is_lost_after_a_replacement (void **state)
+{
+  struct world *w = new_world (1);
+
+  (void)state;
+  run (w, 3 * CFS_US_PER_S);
+  start (w, 3);
+  run (w, 4 * CFS_US_PER_S);
+  leave (w, 0);
+  run (w, 10 * CFS_US_PER_S);
+  assert_int_equal (voters (w), 3);
+  stop (w, 1);
+  wipe (w, 1);
+  run (w, 2 * CFS_US_PER_S);
+  start (w, 1);
+  run (w, REPAIR_US);
+  assert_goes_on (w);
+  free_world (w);
+}
+
+/* Without a word: the successor comes two seconds later. */
+static void
+a_dead_member_is_replaced (void **state)
+{
+  struct world *w = new_world (2);
+
+  (void)state;
+  run (w, 3 * CFS_US_PER_S);
+  stop (w, 2);
+  run (w, 2 * CFS_US_PER_S);
+  start (w, 4);
+  run (w, REPAIR_US);
+  assert_int_equal (voters (w), 3);
+  stop (w, 0);
+  assert_goes_on (w);
+  free_world (w);
+}
+
+static void
+six_members_have_five_voters (void **state)
+{
+  struct world *w = new_world (3);
+
+  (void)state;
+  for (unsigned i = SEEDS_COUNT; i < HOSTS; i++)
+    start (w, i);
+  run (w, 8 * CFS_US_PER_S);
+  assert_int_equal (voters (w), 5);
+  stop (w, 0);
+  stop (w, 4);
+  assert_goes_on (w);
+  free_world (w);
+}
+
+/* A restart of each in turn changes no vote. */
+static void
+a_rolling_restart_keeps_the_members (void **state)
+{
+  struct world *w = new_world (4);
+
+  (void)state;
+  run (w, 3 * CFS_US_PER_S);
+  for (unsigned i = 0; i < SEEDS_COUNT; i++)
+    {
+      leave (w, i);
+      run (w, 500 * CFS_US_PER_MS);
+      start (w, i);
+      run (w, 2 * CFS_US_PER_S);
+    }
+  assert_int_equal (voters (w), 3);
+  assert_goes_on (w);
+  free_world (w);
+}
+
+/* With TRACE: the event and every member's view. */
+static void
+trace (struct world *w, const char *event, unsigned i)
+{
+  if (!getenv ("TRACE"))
+    return;
+  printf ("%lld ms c%u %s\n", (long long)(w->now / CFS_US_PER_MS), i + 1,
+          event);
+  for (unsigned k = 0; k < HOSTS; k++)
+    {
+      const struct cfs_members *m;
+
+      if (!w->members[k].up)
+        continue;
+      m = cfs_raft_members (w->members[k].raft);
+      printf ("  c%u role %d term %llu commit %llu:", k + 1,
+              (int)cfs_raft_role (w->members[k].raft),
+              (unsigned long long)cfs_raft_term (w->members[k].raft),
+              (unsigned long long)cfs_raft_commit (w->members[k].raft));
+      for (size_t n = 0; n < m->count; n++)
+        printf (" %s:%llx%s", m->at[n].host,
+                (unsigned long long)m->at[n].id & 0xfff,
+                m->at[n].voter ? "" : "(learner)");
+      puts ("");
+    }
+}
+
+static bool
+run_seed (uint64_t seed)
+{
+  struct world *w = new_world (seed);
+  unsigned spare = 3;
+  uint64_t before;
+  bool ok;
+
+  run (w, 3 * CFS_US_PER_S);
+  for (int i = 0; i < 6 && !w->fault; i++)
+    {
+      unsigned victim = (unsigned)draw (w, SEEDS_COUNT);
+
+      if (!w->members[victim].up)
+        continue;
+      bool wiped = draw (w, 2);
+
+      stop (w, victim);
+      if (wiped)
+        wipe (w, victim);
+      trace (w, wiped ? "stopped and wiped" : "stopped", victim);
+      run (w, (int64_t)draw (w, 3000) * CFS_US_PER_MS);
+      if (spare < HOSTS && draw (w, 4) == 0)
+        victim = spare++;
+      start (w, victim);
+      trace (w, "started", victim);
+      run (w, REPAIR_US + (int64_t)draw (w, 3000) * CFS_US_PER_MS);
+    }
+  before = w->committed;
+  run (w, 4 * CFS_US_PER_S);
+  trace (w, "last", 0);
+  ok = !w->fault && w->committed > before;
+  if (!ok)
+    printf ("seed %llu: %s\n", (unsigned long long)seed,
+            w->fault ? w->fault : "the log does not go on");
+  free_world (w);
+  return ok;
+}
+
+static void
+one_loss_at_a_time_is_repaired (void **state)
+{
+  (void)state;
+  assert_int_equal (seeds_failed (run_seed), 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (a_disk_is_lost_after_a_replacement),
+          cmocka_unit_test (a_dead_member_is_replaced),
+          cmocka_unit_test (six_members_have_five_voters),
+          cmocka_unit_test (a_rolling_restart_keeps_the_members),
+          cmocka_unit_test (one_loss_at_a_time_is_repaired) };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
