The sessions' edge with real processes: a stand-in group and a process test

A group of three instances that speak the line protocol, and the platform's call that makes one lead, in one small program that shares no code with the product. The test covers sessions, transactions, prepared names, bad input, read back, a dead primary, a withdrawn key and a planned stop. Found by it: a host told 'control group lost' at its start, and took an answer of a member without a leader for news; both mended.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all, check, check-asan, demo, bench, format, lint, clean.
+# Targets: all, check, check-asan, demo, demo-sessions, bench, format, lint, clean.
 CC = gcc
 BUILD = build
 PACKAGES = apr-1 apr-util-1 libzmq glib-2.0 libcjson libprotobuf-c \
@@ -17,7 +17,7 @@
 UNITS := $(patsubst tests/unit/%.c,$(BUILD)/tests/%,$(wildcard tests/unit/*.c))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
 
-all: $(BUILD)/coltsfootstage $(BUILD)/target
+all: $(BUILD)/coltsfootstage $(BUILD)/target $(BUILD)/group
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
@@ -33,6 +33,9 @@
 $(BUILD)/target: $(BUILD)/tests/standin/target.o
 	$(CC) $(CFLAGS) $^ -o $@
 
+$(BUILD)/group: $(BUILD)/tests/standin/group.o
+	$(CC) $(CFLAGS) $^ -o $@
+
 WORLD_OBJECTS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/world/*.c))
 
 $(BUILD)/tests/%: $(BUILD)/tests/unit/%.o $(WORLD_OBJECTS) $(BUILD)/libcore.a
@@ -52,6 +55,9 @@
 demo: all
 	BUILD=$(BUILD) tests/demo
 
+demo-sessions: all
+	BUILD=$(BUILD) tests/process/sessions.sh
+
 bench: $(BENCHES)
 	BUILD=$(BUILD) bench/run
 
@@ -68,6 +74,6 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all check check-asan demo bench format format-check lint clean
+.PHONY: all check check-asan demo demo-sessions bench format format-check lint clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/src/process/agent.c
+++ b/src/process/agent.c
@@ -308,6 +308,8 @@
     {
       try_next_host (a);
       a->next_at = now + HEARTBEAT_URGENT_US;
+      a->answered = true;
+      return;
     }
   else if (*r->leader)
     {
@@ -387,6 +389,7 @@
   a->settings = settings;
   a->document = cfs_strdup ("{}");
   a->boot = boot;
+  a->heard_at = cfs_now ();
   a->peer_count = settings->control_count;
   memcpy (a->peers, settings->control,
           settings->control_count * sizeof a->peers[0]);
