--- a/src/process/succession.c
+++ b/src/process/succession.c
@@ -166,6 +166,8 @@
 static void
 ask (struct probe *p, const struct cfs_statement *st, int64_t now)
 {
+  if (!p->wire)
+    return;
   p->verb = st->verb;
   p->asking = true;
   p->asked_at = now;
