Reads leave an instance whose connection does not come up; names in logs

Change: after 350 ms the read goes to another instance, and this one is passed over for 400 ms. Log lines name verb, phase and state, the instance that was asked last, and whether the host has its lease. One function instead of two asks whether a key still holds.

--- a/src/connection/edge.c
+++ b/src/connection/edge.c
@@ -7,6 +7,11 @@
         "failed",       "timeout",       "unknown",    "malformed",
         "no_database",  "no_key",        "other" };
 
+static const char *const verb_names[]
+    = { "begin", "begin_read", "commit",  "rollback", "read",
+        "write", "set",        "prepare", "execute",  "deallocate",
+        "reset", "status",     "pause",   "resume",   "demote" };
+
 int
 cfs_position_compare (const struct cfs_position *a,
                       const struct cfs_position *b)
@@ -23,3 +28,9 @@
 {
   return (unsigned)code < REPLY_CODES ? reply_names[code] : "other";
 }
+
+const char *
+cfs_verb_name (enum cfs_verb verb)
+{
+  return (unsigned)verb <= VERB_DEMOTE ? verb_names[verb] : "other";
+}
--- a/src/connection/edge.h
+++ b/src/connection/edge.h
@@ -58,6 +58,9 @@
   VERB_DEMOTE
 };
 
+/** cfs_verb_name() - stable name of a verb for logs */
+const char *cfs_verb_name (enum cfs_verb verb);
+
 /**
  * struct cfs_statement - one statement; texts belong to the giver
  * @id: request id, NULL for statements of our own
--- a/src/connection/pool.c
+++ b/src/connection/pool.c
@@ -27,6 +27,8 @@
  */
 #define DOWN_PAUSE_US (100 * CFS_US_PER_MS)
 #define DOWN_PAUSE_MAX_US (1600 * CFS_US_PER_MS)
+/* An instance whose connections are slow to come up is passed over. */
+#define SLOW_PAUSE_US (400 * CFS_US_PER_MS)
 /* A claim to lead is passed over for this time after it was denied. */
 #define DENIED_US (300 * CFS_US_PER_MS)
 /* An instance that lacked a position is passed over for it this long. */
@@ -501,6 +503,12 @@
   return t;
 }
 
+void
+cfs_pool_note_slow (struct cfs_pool *p, const char *target, int64_t now)
+{
+  add_site (p, target)->down_until = now + SLOW_PAUSE_US;
+}
+
 void
 cfs_pool_note_not_primary (struct cfs_pool *p, const char *target, int64_t now)
 {
--- a/src/connection/pool.h
+++ b/src/connection/pool.h
@@ -91,6 +91,10 @@
 const struct cfs_target *cfs_pool_primary (struct cfs_pool *pool,
                                            const char *service, int64_t now);
 
+/** cfs_pool_note_slow() - a connection to an instance does not come up */
+void cfs_pool_note_slow (struct cfs_pool *pool, const char *target,
+                         int64_t now);
+
 /** cfs_pool_note_not_primary() - an instance said that it does not lead */
 void cfs_pool_note_not_primary (struct cfs_pool *pool, const char *target,
                                 int64_t now);
--- a/src/connection/session.c
+++ b/src/connection/session.c
@@ -19,6 +19,11 @@
 /* A caller waits at most this long for its session. */
 #define ADMIT_MAX_US (1600 * CFS_US_PER_MS)
 
+static const char *const phase_names[]
+    = { "none", "token", "position", "link", "opening", "setup", "run" };
+
+static const char *const state_names[] = { "idle", "open", "failed" };
+
 static const unsigned latency_bounds_ms[LATENCY_BUCKETS]
     = { 2, 5, 10, 20, 50, 100, 250, 500, 1000, 2500 };
 
@@ -85,9 +90,8 @@
   return true;
 }
 
-/* Whether the key still stands for the team that began the transaction. */
-static bool
-key_holds (const struct cfs_session *s, int64_t now)
+bool
+session_key_holds (const struct cfs_session *s, int64_t now)
 {
   const struct cfs_fleet *f = s->owner->setup.fleet;
   const struct cfs_member_team *team;
@@ -227,8 +231,8 @@
   else
     session_abandon (s, now);
   if (s->op.phase != OP_NONE)
-    cfs_log (CFS_INFO, PART, "id=%s database=%s the caller left, phase=%d",
-             s->op.statement.id, s->database, (int)s->op.phase);
+    cfs_log (CFS_INFO, PART, "id=%s database=%s the caller left, phase=%s",
+             s->op.statement.id, s->database, phase_names[s->op.phase]);
   free_session (s);
 }
 
@@ -263,14 +267,15 @@
   const struct cfs_fleet *f = s->owner->setup.fleet;
 
   cfs_log (code == REPLY_OK ? CFS_INFO : CFS_NOTICE, PART,
-           "id=%s database=%s team=%s verb=%d state=%d code=%s target=%s "
-           "need=%" PRIu64 ".%" PRIu64 " attempts=%u phase=%d last=%s "
-           "version=%" PRIu64 " took_ms=%" PRId64,
-           op->statement.id, s->database, s->team, (int)op->statement.verb,
-           (int)s->state, cfs_reply_name (code),
-           s->link ? cfs_link_target (s->link) : "-", op->need.term,
-           op->need.number, op->attempts, (int)op->phase,
-           cfs_reply_name (op->last), f->catalog ? f->catalog->version : 0,
+           "id=%s database=%s team=%s verb=%s state=%s code=%s target=%s "
+           "need=%" PRIu64 ".%" PRIu64 " attempts=%u phase=%s last=%s "
+           "version=%" PRIu64 " leased=%d took_ms=%" PRId64,
+           op->statement.id, s->database, s->team,
+           cfs_verb_name (op->statement.verb), state_names[s->state],
+           cfs_reply_name (code), *op->target ? op->target : "-",
+           op->need.term, op->need.number, op->attempts,
+           phase_names[op->phase], cfs_reply_name (op->last),
+           f->catalog ? f->catalog->version : 0, cfs_fleet_leased (f, now),
            (now - op->arrived) / CFS_US_PER_MS);
 }
 
@@ -363,7 +368,7 @@
 static void
 take_inside (struct cfs_session *s, int64_t now)
 {
-  if (!key_holds (s, now))
+  if (!session_key_holds (s, now))
     {
       session_abandon (s, now);
       s->state = TX_FAILED;
--- a/src/connection/session_int.h
+++ b/src/connection/session_int.h
@@ -40,6 +40,8 @@
  * @setup_due: replies due before the statement itself is sent
  * @waits: counted as waiting for a token
  * @opens: the last of them opens a transaction
+ * @opened_at: when the link was asked to open, or the setup was sent
+ * @target: the instance that was asked last
  * @need: position that the instance's log must hold
  */
 struct op
@@ -61,6 +63,7 @@
   struct cfs_position need;
   char tried[TRIED_MAX][CFS_NAME_MAX];
   size_t tried_count;
+  char target[CFS_NAME_MAX];
   enum cfs_reply_code last;
 };
 
@@ -152,6 +155,10 @@
 bool session_allowed (struct cfs_session *session, int64_t now,
                       enum cfs_reply_code *code);
 
+/** session_key_holds() - whether the key still stands for the same team, by a
+ * configuration that may be acted on */
+bool session_key_holds (const struct cfs_session *session, int64_t now);
+
 /** session_prepared() - what a name stands for, or NULL */
 const struct prepared *session_prepared (const struct cfs_session *session,
                                          const char *name);
--- a/src/connection/session_run.c
+++ b/src/connection/session_run.c
@@ -22,6 +22,8 @@
 #define NO_TARGET_PAUSE_US (10 * CFS_US_PER_MS)
 #define TOKEN_PAUSE_US (5 * CFS_US_PER_MS)
 #define BUSY_PAUSE_US (15 * CFS_US_PER_MS)
+/* A read goes elsewhere when a connection is not up by then. */
+#define OPEN_PATIENCE_US (350 * CFS_US_PER_MS)
 /* Bound of statements that prepare a link. */
 #define SETUP_MAX 64
 #define SHAPE_NAME_BYTES 24
@@ -225,28 +227,13 @@
   cfs_link_send (s->link, rows, count, now);
 }
 
-/* Whether the configuration still allows the statement to be sent. */
-static bool
-still_allowed (struct cfs_session *s, int64_t now)
-{
-  const struct cfs_fleet *f = s->owner->setup.fleet;
-  const struct cfs_member_team *team;
-
-  if (s->route.open)
-    return true;
-  if (!cfs_fleet_leased (f, now))
-    return false;
-  team = cfs_catalog_team_of (f->catalog, s->key);
-  return team && strcmp (team->name, s->team) == 0;
-}
-
 static void
 use_link (struct cfs_session *s)
 {
   struct setup u = { .count = 0 };
   int64_t now = session_now (s);
 
-  if (!still_allowed (s, now))
+  if (!session_key_holds (s, now))
     {
       refuse (s, now);
       return;
@@ -330,6 +317,8 @@
       return;
     }
   s->op.attempts++;
+  s->op.opened_at = now;
+  cfs_copy (s->op.target, sizeof s->op.target, t->id);
   if (opening)
     s->op.phase = OP_OPENING;
   else
@@ -406,23 +395,6 @@
   while (before == OP_TOKEN && s->op.phase == OP_POSITION);
 }
 
-void
-session_check (struct cfs_session *s, int64_t now)
-{
-  struct op *op = &s->op;
-
-  if (op->phase == OP_RUN)
-    {
-      if (now >= op->deadline)
-        give_up (s, REPLY_TIMEOUT, "no answer in time", now);
-      return;
-    }
-  if (now >= op->hold_until)
-    refuse (s, now);
-  else
-    session_run (s, now);
-}
-
 static void
 start_over (struct cfs_session *s, enum cfs_reply_code why, int64_t pause_us,
             int64_t now)
@@ -446,6 +418,30 @@
     session_run (s, now);
 }
 
+void
+session_check (struct cfs_session *s, int64_t now)
+{
+  struct op *op = &s->op;
+
+  if (op->phase == OP_RUN)
+    {
+      if (now >= op->deadline)
+        give_up (s, REPLY_TIMEOUT, "no answer in time", now);
+      return;
+    }
+  if (now >= op->hold_until)
+    refuse (s, now);
+  else if (op->phase == OP_OPENING && !wants_primary (s)
+           && now - op->opened_at > OPEN_PATIENCE_US)
+    {
+      cfs_pool_note_slow (s->owner->setup.pool, cfs_link_target (s->link),
+                          now);
+      start_over (s, REPLY_NO_CONNECTION, 0, now);
+    }
+  else
+    session_run (s, now);
+}
+
 static void
 on_opened (void *holder, const struct cfs_reply *r)
 {
@@ -505,7 +501,7 @@
         cfs_samples_add (s->owner->samples, s->service, &r->position,
                          op->opened_at);
     }
-  if (!still_allowed (s, now))
+  if (!session_key_holds (s, now))
     refuse (s, now);
   else
     send_statement (s, now);
