--- a/src/connection/session.c
+++ b/src/connection/session.c
@@ -19,14 +19,6 @@
 /* A caller waits at most this long for its session. */
 #define ADMIT_MAX_US (1600 * CFS_US_PER_MS)
 
-static const char *const phase_names[]
-    = { "none", "token", "position", "link", "opening", "setup", "run" };
-
-static const char *const state_names[] = { "idle", "open", "failed" };
-
-static const unsigned latency_bounds_ms[LATENCY_BUCKETS]
-    = { 2, 5, 10, 20, 50, 100, 250, 500, 1000, 2500 };
-
 int64_t
 session_now (const struct cfs_session *s)
 {
@@ -232,7 +224,8 @@
     session_abandon (s, now);
   if (s->op.phase != OP_NONE)
     cfs_log (CFS_INFO, PART, "id=%s database=%s the caller left, phase=%s",
-             s->op.statement.id, s->database, phase_names[s->op.phase]);
+             s->op.statement.id, s->database,
+             session_phase_name (s->op.phase));
   free_session (s);
 }
 
@@ -248,37 +241,6 @@
   return g_hash_table_lookup (s->prepared, name);
 }
 
-static void
-count_latency (struct cfs_sessions *ss, int64_t took_us)
-{
-  uint64_t ms = (uint64_t)(took_us / CFS_US_PER_MS);
-  size_t i = 0;
-
-  while (i < LATENCY_BUCKETS && ms > latency_bounds_ms[i])
-    i++;
-  ss->stats.latency[i]++;
-  ss->stats.latency_sum_ms += ms;
-}
-
-static void
-log_end (const struct cfs_session *s, enum cfs_reply_code code, int64_t now)
-{
-  const struct op *op = &s->op;
-  const struct cfs_fleet *f = s->owner->setup.fleet;
-
-  cfs_log (code == REPLY_OK ? CFS_INFO : CFS_NOTICE, PART,
-           "id=%s database=%s team=%s verb=%s state=%s code=%s target=%s "
-           "need=%" PRIu64 ".%" PRIu64 " attempts=%u phase=%s last=%s "
-           "version=%" PRIu64 " leased=%d took_ms=%" PRId64,
-           op->statement.id, s->database, s->team,
-           cfs_verb_name (op->statement.verb), state_names[s->state],
-           cfs_reply_name (code), *op->target ? op->target : "-",
-           op->need.term, op->need.number, op->attempts,
-           phase_names[op->phase], cfs_reply_name (op->last),
-           f->catalog ? f->catalog->version : 0, cfs_fleet_leased (f, now),
-           (now - op->arrived) / CFS_US_PER_MS);
-}
-
 void
 session_answer (struct cfs_session *s, const struct cfs_reply *reply)
 {
@@ -286,9 +248,9 @@
 
   s->owner->stats.replies[reply->code]++;
   if (reply->code == REPLY_OK && reply->proof)
-    count_latency (s->owner, now - s->op.arrived);
+    session_count_latency (s->owner, now - s->op.arrived);
   if (reply->code != REPLY_OK || reply->proof)
-    log_end (s, reply->code, now);
+    session_log_end (s, reply->code, now);
   clear_op (s);
   s->rested_at = now;
   s->caller->ops->reply (s->caller, reply);
@@ -583,31 +545,3 @@
 {
   return ss->count;
 }
-
-void
-cfs_sessions_metrics (const struct cfs_sessions *ss, GString *out)
-{
-  uint64_t sum = 0;
-
-  g_string_append_printf (out, "coltsfootstage_sessions %zu\n", ss->count);
-  for (int i = 0; i < REPLY_CODES; i++)
-    g_string_append_printf (
-        out, "coltsfootstage_replies_total{code=\"%s\"} %" PRIu64 "\n",
-        cfs_reply_name ((enum cfs_reply_code)i), ss->stats.replies[i]);
-  g_string_append_printf (out, "coltsfootstage_retries_total %" PRIu64 "\n",
-                          ss->stats.retries);
-  for (int i = 0; i <= LATENCY_BUCKETS; i++)
-    {
-      sum += ss->stats.latency[i];
-      if (i < LATENCY_BUCKETS)
-        g_string_append_printf (
-            out, "coltsfootstage_latency_ms_bucket{le=\"%u\"} %" PRIu64 "\n",
-            latency_bounds_ms[i], sum);
-    }
-  g_string_append_printf (
-      out,
-      "coltsfootstage_latency_ms_bucket{le=\"+Inf\"} %" PRIu64 "\n"
-      "coltsfootstage_latency_ms_sum %" PRIu64 "\n"
-      "coltsfootstage_latency_ms_count %" PRIu64 "\n",
-      sum, ss->stats.latency_sum_ms, sum);
-}
--- a/src/connection/session_int.h
+++ b/src/connection/session_int.h
@@ -1,6 +1,6 @@
 /**
- * DOC: Private parts of sessions, shared by session.c, session_run.c and
- * sample.c.
+ * DOC: Private parts of sessions, shared by session.c, session_run.c,
+ * session_setup.c and session_stats.c.
  */
 #ifndef CFS_SESSION_INT_H
 #define CFS_SESSION_INT_H
@@ -124,6 +124,45 @@
   struct session_stats stats;
 };
 
+/* Bound of statements that prepare a link. */
+#define SETUP_MAX 64
+/* Room for the name of a prepared shape. */
+#define SHAPE_NAME_BYTES 24
+
+/** struct setup - statements that bring a link into the session's state */
+struct setup
+{
+  struct cfs_statement rows[SETUP_MAX];
+  size_t count;
+  char shape[SHAPE_NAME_BYTES];
+};
+
+/** session_setup() - what a link needs before the statement in hand */
+void session_setup (struct cfs_session *session, struct setup *setup);
+
+/** session_shape_name() - name under which links know a shape
+ * @out: SHAPE_NAME_BYTES bytes, written
+ */
+void session_shape_name (const struct prepared *prepared, char *out);
+
+/** session_wants_primary() - whether only the primary can run the statement
+ */
+bool session_wants_primary (const struct cfs_session *session);
+
+/** session_wraps() - whether the statement runs inside a transaction that we
+ * open for it */
+bool session_wraps (const struct cfs_session *session);
+
+/** session_phase_name() - stable name for logs */
+const char *session_phase_name (enum op_phase phase);
+
+/** session_count_latency() - counts a statement that an instance ran */
+void session_count_latency (struct cfs_sessions *sessions, int64_t took_us);
+
+/** session_log_end() - the line at the end of a statement */
+void session_log_end (const struct cfs_session *session,
+                      enum cfs_reply_code code, int64_t now);
+
 /** session_now() - the time at events */
 int64_t session_now (const struct cfs_session *session);
 
--- a/src/connection/session_run.c
+++ b/src/connection/session_run.c
@@ -24,26 +24,9 @@
 #define BUSY_PAUSE_US (15 * CFS_US_PER_MS)
 /* A read goes elsewhere when a connection is not up by then. */
 #define OPEN_PATIENCE_US (350 * CFS_US_PER_MS)
-/* Bound of statements that prepare a link. */
-#define SETUP_MAX 64
-#define SHAPE_NAME_BYTES 24
 #define REFUSAL_BYTES 96
-
-static bool
-wants_primary (const struct cfs_session *s)
-{
-  if (s->op.writes || s->route.consistency == CONSISTENCY_LATEST)
-    return true;
-  return s->state == TX_OPEN && !s->read_only;
-}
-
-/* Whether the statement runs inside a transaction that we open for it. */
-static bool
-wraps (const struct cfs_session *s)
-{
-  return s->state == TX_IDLE && !s->op.writes
-         && s->route.consistency == CONSISTENCY_LATEST;
-}
+/* Told to callers whose statement was not run. */
+#define RETRY_HINT_MS 200
 
 /* The transaction of the caller cannot go on; nothing of it is kept. */
 static void
@@ -65,7 +48,7 @@
   g_snprintf (text, sizeof text, "not run (%s), retry in %d ms",
               s->op.phase == OP_TOKEN ? "over the team's rate"
                                       : cfs_reply_name (s->op.last),
-              200);
+              RETRY_HINT_MS);
   if (s->state == TX_OPEN)
     fail_transaction (s, text, now);
   else
@@ -97,107 +80,6 @@
   session_reply (s, code, text);
 }
 
-static void
-shape_name (const struct prepared *p, char *out)
-{
-  uint64_t hash = cfs_hash (p->shape, strlen (p->shape), p->writes ? 2 : 1);
-
-  g_snprintf (out, SHAPE_NAME_BYTES, "p%016" PRIx64, hash);
-}
-
-/* Statements that bring a link into the session's state. */
-struct setup
-{
-  struct cfs_statement rows[SETUP_MAX];
-  size_t count;
-  char shape[SHAPE_NAME_BYTES];
-};
-
-static void
-add_row (struct setup *u, const struct cfs_statement *row)
-{
-  if (u->count < SETUP_MAX)
-    u->rows[u->count++] = *row;
-}
-
-/* A link that carries a value which the session does not have starts anew. */
-static void
-setup_reset (struct cfs_session *s, struct setup *u)
-{
-  struct cfs_statement reset = { .verb = VERB_RESET };
-  GHashTable *on_link = cfs_link_values (s->link);
-  GHashTableIter i;
-  void *name;
-
-  g_hash_table_iter_init (&i, on_link);
-  while (g_hash_table_iter_next (&i, &name, NULL))
-    if (!g_hash_table_contains (s->values, name))
-      {
-        add_row (u, &reset);
-        g_hash_table_remove_all (on_link);
-        g_hash_table_remove_all (cfs_link_prepared (s->link));
-        return;
-      }
-}
-
-static void
-setup_values (struct cfs_session *s, struct setup *u)
-{
-  GHashTable *on_link = cfs_link_values (s->link);
-  GHashTableIter i;
-  void *name;
-  void *value;
-
-  g_hash_table_iter_init (&i, s->values);
-  while (g_hash_table_iter_next (&i, &name, &value))
-    {
-      const char *held = g_hash_table_lookup (on_link, name);
-      struct cfs_statement set
-          = { .verb = VERB_SET, .name = name, .arg = value };
-
-      if (held && strcmp (held, value) == 0)
-        continue;
-      add_row (u, &set);
-      g_hash_table_replace (on_link, g_strdup (name), g_strdup (value));
-    }
-}
-
-static void
-setup_shape (struct cfs_session *s, struct setup *u)
-{
-  GHashTable *on_link = cfs_link_prepared (s->link);
-  const struct prepared *p;
-  struct cfs_statement prepare = { .verb = VERB_PREPARE };
-
-  if (s->op.statement.verb != VERB_EXECUTE)
-    return;
-  p = session_prepared (s, s->op.statement.name);
-  shape_name (p, u->shape);
-  if (g_hash_table_contains (on_link, u->shape))
-    return;
-  prepare.name = u->shape;
-  prepare.arg = p->shape;
-  prepare.writes = p->writes;
-  add_row (u, &prepare);
-  g_hash_table_add (on_link, g_strdup (u->shape));
-}
-
-static void
-setup_begin (struct cfs_session *s, struct setup *u)
-{
-  struct cfs_statement begin = { .verb = VERB_BEGIN };
-
-  if (s->on_link || (s->state != TX_OPEN && !wraps (s)))
-    return;
-  if (!wants_primary (s))
-    {
-      begin.verb = VERB_BEGIN_READ;
-      begin.after = s->op.need;
-    }
-  add_row (u, &begin);
-  s->op.opens = true;
-}
-
 /* The statement itself; one of ours that wraps it ends with it. */
 static void
 send_statement (struct cfs_session *s, int64_t now)
@@ -209,12 +91,12 @@
   rows[0] = s->op.statement;
   if (rows[0].verb == VERB_EXECUTE)
     {
-      shape_name (session_prepared (s, rows[0].name), shape);
+      session_shape_name (session_prepared (s, rows[0].name), shape);
       rows[0].name = shape;
     }
-  if (s->state == TX_IDLE && !s->op.writes && !wraps (s))
+  if (s->state == TX_IDLE && !s->op.writes && !session_wraps (s))
     rows[0].after = s->op.need;
-  if (wraps (s))
+  if (session_wraps (s))
     {
       memset (&rows[1], 0, sizeof rows[1]);
       rows[1].verb = VERB_ROLLBACK;
@@ -239,11 +121,7 @@
       return;
     }
   s->op.opens = false;
-  if (!s->on_link)
-    setup_reset (s, &u);
-  setup_values (s, &u);
-  setup_shape (s, &u);
-  setup_begin (s, &u);
+  session_setup (s, &u);
   if (u.count == SETUP_MAX)
     {
       cfs_pool_drop (s->link);
@@ -276,7 +154,7 @@
   struct cfs_pool *pool = s->owner->setup.pool;
   const struct cfs_target *t;
 
-  if (wants_primary (s))
+  if (session_wants_primary (s))
     return cfs_pool_primary (pool, s->service, now);
   t = cfs_pool_choose (pool, s->service, &s->op.need,
                        (const char (*)[CFS_NAME_MAX])s->op.tried,
@@ -312,7 +190,8 @@
     {
       add_tried (&s->op, t->id);
       s->op.last = REPLY_NO_CONNECTION;
-      s->op.retry_at = now + (wants_primary (s) ? NO_TARGET_PAUSE_US : 0);
+      s->op.retry_at
+          = now + (session_wants_primary (s) ? NO_TARGET_PAUSE_US : 0);
       s->op.phase = OP_POSITION;
       return;
     }
@@ -331,7 +210,7 @@
   struct op *op = &s->op;
 
   memset (&op->need, 0, sizeof op->need);
-  if (wants_primary (s))
+  if (session_wants_primary (s))
     return true;
   if (!cfs_samples_need (s->owner->samples, s->service, s->route.max_age_us,
                          s->team, now, &op->need))
@@ -431,7 +310,7 @@
     }
   if (now >= op->hold_until)
     refuse (s, now);
-  else if (op->phase == OP_OPENING && !wants_primary (s)
+  else if (op->phase == OP_OPENING && !session_wants_primary (s)
            && now - op->opened_at > OPEN_PATIENCE_US)
     {
       cfs_pool_note_slow (s->owner->setup.pool, cfs_link_target (s->link),
@@ -497,7 +376,7 @@
   if (op->opens)
     {
       s->on_link = true;
-      if (wants_primary (s))
+      if (session_wants_primary (s))
         cfs_samples_add (s->owner->samples, s->service, &r->position,
                          op->opened_at);
     }
--- a/src/process/succession.c
+++ b/src/process/succession.c
@@ -6,7 +6,7 @@
  * survive: a new leader finds the open change in the replicated state and
  * starts it over with a higher token.
  */
-#include "succession.h"
+#include "succession_int.h"
 
 #include "log.h"
 
@@ -15,105 +15,28 @@
 #include <string.h>
 
 #define PART "succession"
-/* Time between questions to a primary that is watched. */
-#define WATCH_US (300 * CFS_US_PER_MS)
-/* A primary that gave no answer for this time is suspected. */
-#define SILENT_US (1100 * CFS_US_PER_MS)
 /* Without hosts that suspect it, too, for this time. */
 #define SILENT_ALONE_US (3500 * CFS_US_PER_MS)
 /* A leader waits this long after it took over, to hear from all. */
 #define SETTLE_US (800 * CFS_US_PER_MS)
 /* Time for all replicas to be paused. */
 #define PAUSE_MAX_US (900 * CFS_US_PER_MS)
-/* Answers that are older do not count in the choice. */
-#define ANSWER_FRESH_US (600 * CFS_US_PER_MS)
 /* Time for the log to commit a token. */
 #define COMMIT_MAX_US (3 * CFS_US_PER_S)
 /* Time for an order to be answered. */
 #define ORDER_MAX_US (2500 * CFS_US_PER_MS)
 /* Time for the chosen instance to be seen leading. */
 #define CONFIRM_MAX_US (3 * CFS_US_PER_S)
-/* Pause before a lost connection is tried again. */
-#define RECONNECT_US (50 * CFS_US_PER_MS)
 /* Connections in a row that failed before a primary counts as down. */
 #define FAILURES_MAX 2
 /* Hosts must go on to suspect a primary that answers for this time. */
 #define SUSPECTED_US (500 * CFS_US_PER_MS)
-/* Pause before the next attempt. */
-#define RETRY_US (200 * CFS_US_PER_MS)
 /* No change starts for this time after one has ended. */
 #define REST_US (1500 * CFS_US_PER_MS)
 /* Parts of the hosts alive that must suspect a primary: one that the leader
    cannot reach either, and one that answers the leader. */
 #define SUSPECT_PART 0.25
 #define SUSPECT_ALONE_PART 0.25
-#define PROBES_MAX 16
-/* On whose behalf the leader connects. */
-#define TEAM "control"
-
-enum phase
-{
-  PHASE_STEADY,
-  PHASE_OPENING,
-  PHASE_PAUSING,
-  PHASE_ORDERING,
-  PHASE_CONFIRMING,
-  PHASE_CLOSING
-};
-
-/* A connection to one instance with at most one question under way. */
-struct probe
-{
-  struct cfs_succession *owner;
-  char target[CFS_NAME_MAX];
-  uint64_t born;
-  struct cfs_wire *wire;
-  bool up;
-  bool asking;
-  bool paused;
-  bool read;
-  unsigned failures;
-  int64_t asked_at;
-  int64_t answered_at;
-  int64_t retry_at;
-  uint64_t term;
-  struct cfs_instance_state status;
-  enum cfs_verb verb;
-};
-
-struct reign
-{
-  char service[CFS_NAME_MAX];
-  enum phase phase;
-  struct probe watch;
-  int64_t denied_at;
-  int64_t suspected_at;
-  int64_t leaderless_at;
-  struct probe probes[PROBES_MAX];
-  size_t probe_count;
-  char chosen[CFS_NAME_MAX];
-  uint64_t fence;
-  uint64_t index;
-  uint64_t newest_term;
-  bool ordered;
-  int64_t since;
-  int64_t started_at;
-  int64_t retry_at;
-};
-
-struct cfs_succession
-{
-  const struct cfs_succession_ops *ops;
-  void *ctx;
-  const struct cfs_target_edge *edge;
-  const struct cfs_state *state;
-  int64_t (*clock) (void);
-  struct reign **reigns;
-  size_t count;
-  size_t cap;
-  bool leads;
-  int64_t led_since;
-};
 
 struct cfs_succession *
 cfs_succession_new (const struct cfs_succession_ops *ops, void *ctx,
@@ -130,24 +53,6 @@
   return s;
 }
 
-static void
-close_probe (struct probe *p)
-{
-  if (p->wire)
-    p->wire->ops->close (p->wire);
-  p->wire = NULL;
-  p->up = false;
-  p->asking = false;
-}
-
-static void
-close_probes (struct reign *r)
-{
-  for (size_t i = 0; i < r->probe_count; i++)
-    close_probe (&r->probes[i]);
-  r->probe_count = 0;
-}
-
 void
 cfs_succession_free (struct cfs_succession *s)
 {
@@ -155,111 +60,14 @@
     return;
   for (size_t i = 0; i < s->count; i++)
     {
-      close_probes (s->reigns[i]);
-      close_probe (&s->reigns[i]->watch);
+      succession_close_probes (s->reigns[i]);
+      succession_close_probe (&s->reigns[i]->watch);
       free (s->reigns[i]);
     }
   free (s->reigns);
   free (s);
 }
 
-static void
-ask (struct probe *p, const struct cfs_statement *st, int64_t now)
-{
-  if (!p->wire)
-    return;
-  p->verb = st->verb;
-  p->asking = true;
-  p->asked_at = now;
-  p->wire->ops->send (p->wire, st, 1);
-}
-
-static void
-on_opened (void *owner, const struct cfs_reply *r)
-{
-  struct probe *p = owner;
-  int64_t now = p->owner->clock ();
-
-  if (r->code != REPLY_OK)
-    {
-      close_probe (p);
-      p->retry_at = now + RETRY_US;
-      return;
-    }
-  p->up = true;
-  p->failures = 0;
-  p->term = r->position.term;
-}
-
-static void
-on_replied (void *owner, const struct cfs_reply *r)
-{
-  struct probe *p = owner;
-
-  p->asking = false;
-  if (r->position.term > p->term)
-    p->term = r->position.term;
-  if (p->verb == VERB_BEGIN)
-    {
-      struct cfs_statement end = { .verb = VERB_ROLLBACK };
-
-      p->status.primary = r->code == REPLY_OK;
-      p->read = true;
-      p->answered_at = p->owner->clock ();
-      if (r->state != TX_IDLE)
-        ask (p, &end, p->asked_at);
-    }
-  else if (p->verb == VERB_PAUSE || p->verb == VERB_STATUS)
-    {
-      p->read = p->owner->edge->read_status (r, &p->status);
-      p->paused = p->read && !p->status.primary
-                  && (p->paused || p->verb == VERB_PAUSE);
-      p->answered_at = p->owner->clock ();
-      if (p->read && p->status.term > p->term)
-        p->term = p->status.term;
-    }
-}
-
-static void
-on_lost (void *owner, const char *reason)
-{
-  struct probe *p = owner;
-
-  (void)reason;
-  p->wire = NULL;
-  p->up = false;
-  p->asking = false;
-  p->paused = false;
-  p->read = false;
-  p->failures++;
-  p->retry_at = p->owner->clock () + RECONNECT_US;
-}
-
-static const struct cfs_wire_events events
-    = { on_opened, on_replied, on_lost };
-
-static void
-open_probe (struct cfs_succession *s, struct probe *p,
-            const struct cfs_target *t, int64_t now)
-{
-  struct cfs_wire_setup setup = { .address = t->address,
-                                  .service = t->service,
-                                  .team = TEAM,
-                                  .target = t->id,
-                                  .events = &events,
-                                  .owner = p };
-
-  if (p->wire || now < p->retry_at)
-    return;
-  p->owner = s;
-  cfs_copy (p->target, sizeof p->target, t->id);
-  p->born = t->born;
-  p->asked_at = now;
-  p->wire = s->edge->open (s->edge, &setup);
-  if (!p->wire)
-    p->retry_at = now + RETRY_US;
-}
-
 static struct reign *
 reign_of (struct cfs_succession *s, const char *service)
 {
@@ -282,37 +90,6 @@
                               r->service);
 }
 
-/* Asks the primary whether it leads, and notes its answers. */
-static void
-watch (struct cfs_succession *s, struct reign *r, const struct cfs_target *t,
-       int64_t now)
-{
-  struct probe *p = &r->watch;
-  struct cfs_statement begin = { .verb = VERB_BEGIN };
-
-  if (strcmp (p->target, t->id) != 0 || p->born != t->born)
-    {
-      close_probe (p);
-      memset (p, 0, sizeof *p);
-      p->answered_at = now;
-      r->denied_at = 0;
-    }
-  if (p->wire && (p->asking || !p->up) && now - p->asked_at > SILENT_US)
-    {
-      close_probe (p);
-      p->retry_at = now;
-    }
-  open_probe (s, p, t, now);
-  if (p->up && !p->asking && now - p->asked_at >= WATCH_US)
-    ask (p, &begin, now);
-  if (p->term > r->newest_term)
-    r->newest_term = p->term;
-  if (!p->read || p->status.primary)
-    r->denied_at = 0;
-  else if (!r->denied_at)
-    r->denied_at = now;
-}
-
 /* Why the primary is to be replaced, or NULL. */
 static const char *
 reason_to_change (const struct cfs_succession *s, struct reign *r,
@@ -361,7 +138,7 @@
 {
   Cfs__Turn turn = CFS__TURN__INIT;
 
-  close_probes (r);
+  succession_close_probes (r);
   r->chosen[0] = '\0';
   turn.service = r->service;
   turn.open = true;
@@ -383,135 +160,6 @@
   enter (r, PHASE_CLOSING, now);
 }
 
-static struct probe *
-find_probe (struct reign *r, const char *target)
-{
-  for (size_t i = 0; i < r->probe_count; i++)
-    if (strcmp (r->probes[i].target, target) == 0)
-      return &r->probes[i];
-  return NULL;
-}
-
-/* The connection refers to its row, so rows are never moved; a row whose
-   instance is gone stays unused. */
-static void
-drop_gone (struct cfs_succession *s, struct reign *r)
-{
-  for (size_t i = 0; i < r->probe_count; i++)
-    {
-      struct probe *p = &r->probes[i];
-      const struct cfs_target *t
-          = cfs_table_find (&s->state->targets, p->target);
-
-      if (t && !t->gone && t->born == p->born)
-        continue;
-      close_probe (p);
-      memset (p, 0, sizeof *p);
-    }
-}
-
-static struct probe *
-add_probe (struct reign *r)
-{
-  struct probe *p = find_probe (r, "");
-
-  if (!p && r->probe_count < PROBES_MAX)
-    p = &r->probes[r->probe_count++];
-  if (p)
-    memset (p, 0, sizeof *p);
-  return p;
-}
-
-/* All instances as far as known.  Those that leave count, too, and so does
-   the one that is taken for the primary: an earlier order may have made
-   another lead without this host's knowledge. */
-static void
-find_instances (struct cfs_succession *s, struct reign *r)
-{
-  const struct cfs_table *targets = &s->state->targets;
-
-  drop_gone (s, r);
-  for (size_t i = 0; i < targets->count; i++)
-    {
-      const struct cfs_target *t = cfs_table_at (targets, i);
-      struct probe *p;
-
-      if (t->gone || strcmp (t->service, r->service) != 0
-          || find_probe (r, t->id))
-        continue;
-      p = add_probe (r);
-      if (!p)
-        return;
-      p->owner = s;
-      cfs_copy (p->target, sizeof p->target, t->id);
-      p->born = t->born;
-    }
-}
-
-/* What the instances said so far. */
-struct census
-{
-  size_t known;
-  size_t paused;
-  struct probe *leads;
-};
-
-/* Asks an instance to pause; one that has is asked again from time to time,
-   because an earlier order may have made it lead since. */
-static void
-ask_instance (struct cfs_succession *s, struct probe *p, uint64_t term,
-              int64_t now)
-{
-  struct cfs_statement pause = { .verb = VERB_PAUSE, .term = term };
-  struct cfs_statement status = { .verb = VERB_STATUS };
-
-  open_probe (s, p, cfs_table_find (&s->state->targets, p->target), now);
-  if (!p->up || p->asking)
-    return;
-  if (!p->read)
-    ask (p, &pause, now);
-  else if (now - p->answered_at > ANSWER_FRESH_US / 2)
-    ask (p, &status, now);
-}
-
-/* Drives the questions to the instances and counts their answers. */
-static struct census
-pause_instances (struct cfs_succession *s, struct reign *r, int64_t now)
-{
-  struct census c = { 0, 0, NULL };
-
-  find_instances (s, r);
-  for (size_t i = 0; i < r->probe_count; i++)
-    if (r->probes[i].term > r->newest_term)
-      r->newest_term = r->probes[i].term;
-  for (size_t i = 0; i < r->probe_count; i++)
-    {
-      struct probe *p = &r->probes[i];
-      bool fresh = p->read && now - p->answered_at < ANSWER_FRESH_US;
-
-      if (!*p->target)
-        continue;
-      c.known++;
-      c.paused += fresh && p->paused;
-      if (fresh && p->status.primary
-          && (!c.leads || p->status.term > c.leads->status.term))
-        c.leads = p;
-      ask_instance (s, p, r->newest_term + 1, now);
-    }
-  return c;
-}
-
-/* Lets replicas receive again; the connections close behind it. */
-static void
-resume_replicas (struct reign *r, int64_t now)
-{
-  struct cfs_statement resume = { .verb = VERB_RESUME };
-
-  for (size_t i = 0; i < r->probe_count; i++)
-    if (r->probes[i].up && r->probes[i].paused)
-      ask (&r->probes[i], &resume, now);
-}
-
 /* The longest log; among equals one that stays. */
 static const struct probe *
 choose (const struct cfs_succession *s, const struct reign *r, int64_t now)
@@ -576,7 +224,7 @@
   cfs_log (CFS_NOTICE, PART, "service=%s target=%s leads already", r->service,
            leads->target);
   cfs_copy (r->chosen, sizeof r->chosen, leads->target);
-  resume_replicas (r, now);
+  succession_resume_replicas (r, now);
   close_turn (s, r, now);
 }
 
@@ -596,7 +244,7 @@
 run_pausing (struct cfs_succession *s, struct reign *r, int64_t now)
 {
   const struct cfs_target *primary = primary_of (s, r);
-  struct census c = pause_instances (s, r, now);
+  struct census c = succession_pause_instances (s, r, now);
   bool other
       = c.leads && (!primary || strcmp (c.leads->target, primary->id) != 0);
 
@@ -620,7 +268,7 @@
     }
   cfs_log (CFS_NOTICE, PART, "service=%s change given up, target=%s leads",
            r->service, primary->id);
-  resume_replicas (r, now);
+  succession_resume_replicas (r, now);
   close_turn (s, r, now);
 }
 
@@ -637,22 +285,13 @@
     enter (r, PHASE_STEADY, now);
 }
 
-static bool
-any_asking (const struct reign *r)
-{
-  for (size_t i = 0; i < r->probe_count; i++)
-    if (r->probes[i].up && r->probes[i].asking)
-      return true;
-  return false;
-}
-
 static void
 run_closing (struct reign *r, uint64_t committed, int64_t now)
 {
-  if ((committed < r->index || any_asking (r))
+  if ((committed < r->index || succession_any_asking (r))
       && now - r->since < COMMIT_MAX_US)
     return;
-  close_probes (r);
+  succession_close_probes (r);
   r->ordered = false;
   r->retry_at = now + REST_US;
   enter (r, PHASE_STEADY, now);
@@ -667,13 +306,13 @@
   const struct cfs_target *t = cfs_table_find (&s->state->targets, r->chosen);
 
   if (t)
-    watch (s, r, t, now);
+    succession_watch (s, r, t, now);
   if (t && r->watch.read && r->watch.status.primary)
     {
       cfs_log (CFS_NOTICE, PART,
                "service=%s target=%s leads, took_ms=%" PRId64, r->service,
                t->id, (now - r->started_at) / CFS_US_PER_MS);
-      resume_replicas (r, now);
+      succession_resume_replicas (r, now);
       close_turn (s, r, now);
     }
   else if (now - r->since > CONFIRM_MAX_US)
@@ -689,7 +328,7 @@
 
   if (t)
     {
-      watch (s, r, t, now);
+      succession_watch (s, r, t, now);
       r->leaderless_at = 0;
     }
   else if (!r->leaderless_at)
@@ -742,8 +381,8 @@
     {
       struct reign *r = s->reigns[i];
 
-      close_probes (r);
-      close_probe (&r->watch);
+      succession_close_probes (r);
+      succession_close_probe (&r->watch);
       memset (&r->watch, 0, sizeof r->watch);
       r->phase = PHASE_STEADY;
     }
--- /dev/null
+++ b/src/process/succession_int.h
@@ -0,0 +1,112 @@
+/**
+ * DOC: Private parts of changes of primary, shared by succession.c and
+ * succession_probe.c.
+ */
+#ifndef CFS_SUCCESSION_INT_H
+#define CFS_SUCCESSION_INT_H
+
+#include "succession.h"
+
+/* A primary that gave no answer for this time is suspected. */
+#define SILENT_US (1100 * CFS_US_PER_MS)
+/* Answers that are older do not count in the choice. */
+#define ANSWER_FRESH_US (600 * CFS_US_PER_MS)
+/* Pause before the next attempt. */
+#define RETRY_US (200 * CFS_US_PER_MS)
+#define PROBES_MAX 16
+
+enum phase
+{
+  PHASE_STEADY,
+  PHASE_OPENING,
+  PHASE_PAUSING,
+  PHASE_ORDERING,
+  PHASE_CONFIRMING,
+  PHASE_CLOSING
+};
+
+/* A connection to one instance with at most one question under way. */
+struct probe
+{
+  struct cfs_succession *owner;
+  char target[CFS_NAME_MAX];
+  uint64_t born;
+  struct cfs_wire *wire;
+  bool up;
+  bool asking;
+  bool paused;
+  bool read;
+  unsigned failures;
+  int64_t asked_at;
+  int64_t answered_at;
+  int64_t retry_at;
+  uint64_t term;
+  struct cfs_instance_state status;
+  enum cfs_verb verb;
+};
+
+struct reign
+{
+  char service[CFS_NAME_MAX];
+  enum phase phase;
+  struct probe watch;
+  int64_t denied_at;
+  int64_t suspected_at;
+  int64_t leaderless_at;
+  struct probe probes[PROBES_MAX];
+  size_t probe_count;
+  char chosen[CFS_NAME_MAX];
+  uint64_t fence;
+  uint64_t index;
+  uint64_t newest_term;
+  bool ordered;
+  int64_t since;
+  int64_t started_at;
+  int64_t retry_at;
+};
+
+struct cfs_succession
+{
+  const struct cfs_succession_ops *ops;
+  void *ctx;
+  const struct cfs_target_edge *edge;
+  const struct cfs_state *state;
+  int64_t (*clock) (void);
+  struct reign **reigns;
+  size_t count;
+  size_t cap;
+  bool leads;
+  int64_t led_since;
+};
+
+/* What the instances said so far. */
+struct census
+{
+  size_t known;
+  size_t paused;
+  struct probe *leads;
+};
+
+/** succession_close_probe() - ends a connection; what it heard is kept */
+void succession_close_probe (struct probe *probe);
+
+/** succession_close_probes() - ends all connections of a change */
+void succession_close_probes (struct reign *reign);
+
+/** succession_watch() - asks an instance whether it leads, notes its answers
+ */
+void succession_watch (struct cfs_succession *succession, struct reign *reign,
+                       const struct cfs_target *target, int64_t now);
+
+/** succession_pause_instances() - drives the questions to all instances and
+ * counts their answers */
+struct census succession_pause_instances (struct cfs_succession *succession,
+                                          struct reign *reign, int64_t now);
+
+/** succession_resume_replicas() - lets paused replicas receive again */
+void succession_resume_replicas (struct reign *reign, int64_t now);
+
+/** succession_any_asking() - whether an answer is due */
+bool succession_any_asking (const struct reign *reign);
+
+#endif
