--- a/src/process/raft.c
+++ b/src/process/raft.c
@@ -140,14 +140,27 @@
   return CFS_OK;
 }
 
+/* Whether the log is so long, or its applied entries so large, that a
+   snapshot is to replace them. */
+static bool
+log_is_large (const struct cfs_raft *r)
+{
+  size_t bytes = 0;
+
+  if (r->applied - r->snap.index >= RAFT_SNAPSHOT_ENTRIES)
+    return true;
+  for (uint64_t i = r->snap.index + 1; i <= r->applied; i++)
+    bytes += raft_entry_at (r, i)->len;
+  return bytes >= RAFT_SNAPSHOT_BYTES;
+}
+
 static void
 take_snapshot (struct cfs_raft *r)
 {
   struct cfs_snapshot s = { .index = r->applied };
   size_t keep;
 
-  if (r->applied - r->snap.index < RAFT_SNAPSHOT_ENTRIES
-      || r->members_index > r->applied)
+  if (!log_is_large (r) || r->members_index > r->applied)
     return;
   s.term = raft_term_at (r, r->applied);
   s.members = r->members;
@@ -207,6 +220,7 @@
   Cfs__RaftEntry rows[RAFT_BATCH];
   Cfs__RaftEntry *list[RAFT_BATCH];
   Cfs__RaftMsg m;
+  size_t bytes = 0;
 
   if (p->next <= r->snap.index)
     {
@@ -220,7 +234,9 @@
   m.round = (uint64_t)now;
   m.entries = list;
   for (uint64_t i = p->next;
-       i <= raft_last_index (r) && m.n_entries < RAFT_BATCH; i++)
+       i <= raft_last_index (r) && m.n_entries < RAFT_BATCH
+       && bytes < RAFT_BATCH_BYTES;
+       i++)
     {
       const struct cfs_entry *e = raft_entry_at (r, i);
       Cfs__RaftEntry *row = &rows[m.n_entries];
@@ -232,6 +248,7 @@
       row->data.len = e->len;
       row->data.data = e->data;
       list[m.n_entries++] = row;
+      bytes += e->len;
     }
   raft_send_to (r, &m);
   p->sent_at = now;
--- a/src/process/raft.h
+++ b/src/process/raft.h
@@ -23,6 +23,8 @@
 #define RAFT_DRIFT_PERCENT 2
 /* Entries kept in the log before a snapshot replaces them. */
 #define RAFT_SNAPSHOT_ENTRIES 512
+/* The same by their bytes: whole documents may be large. */
+#define RAFT_SNAPSHOT_BYTES (4u << 20)
 /* A member without an answer for this time counts as silent. */
 #define RAFT_SILENT_US (2 * CFS_US_PER_S)
 /* A learner that is silent for this time is dropped; it may join again. */
@@ -34,6 +36,8 @@
 #define RAFT_MANY 5
 /* Entries sent in one append. */
 #define RAFT_BATCH 128
+/* The same by their bytes; an entry that is larger goes alone. */
+#define RAFT_BATCH_BYTES (256u << 10)
 
 /**
  * enum cfs_entry_kind - what a log entry holds
--- a/tests/unit/members.c
+++ b/tests/unit/members.c
@@ -499,6 +499,37 @@
     }
 }
 
+/* Whole documents of 64 KB: neither log nor messages grow without bound. */
+static void
+large_entries_are_replaced_by_a_snapshot (void **state)
+{
+  static uint8_t document[64 << 10];
+  struct world *w = new_world (5);
+  size_t bytes = 0;
+
+  (void)state;
+  run (w, 3 * CFS_US_PER_S);
+  for (int i = 0; i < 200; i++)
+    {
+      int l = leader (w);
+      uint64_t value = w->proposed + 1;
+
+      memcpy (document, &value, sizeof value);
+      if (l >= 0
+          && cfs_raft_propose (w->members[l].raft, document, sizeof document,
+                               w->now, NULL)
+                 == CFS_OK)
+        w->proposed++;
+      run (w, 50 * CFS_US_PER_MS);
+    }
+  for (size_t i = 0; i < w->members[0].count; i++)
+    bytes += w->members[0].log[i].len;
+  assert_true (w->committed > 150);
+  assert_true (bytes <= 2 * RAFT_SNAPSHOT_BYTES);
+  assert_null (w->fault);
+  free_world (w);
+}
+
 static bool
 run_seed (uint64_t seed)
 {
@@ -553,6 +584,7 @@
           cmocka_unit_test (a_dead_member_is_replaced),
           cmocka_unit_test (six_members_have_five_voters),
           cmocka_unit_test (a_rolling_restart_keeps_the_members),
+          cmocka_unit_test (large_entries_are_replaced_by_a_snapshot),
           cmocka_unit_test (one_loss_at_a_time_is_repaired) };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
