A lost or refused link is not read after it was freed

Cause (session_random under the address sanitizer): the instance's name was read from a link that the pool had freed. Change: the statement keeps the name of the instance asked last.

--- a/src/connection/pool.h
+++ b/src/connection/pool.h
@@ -21,9 +21,10 @@
 
 /**
  * struct cfs_link_events - what a link tells its holder
- * @opened: the connection is up, or was refused; a refused link is gone
+ * @opened: the connection is up, or was refused; a refused link is freed
+ * before this is called
  * @replied: the oldest statement without a reply ended
- * @lost: the link is gone
+ * @lost: the link is freed before this is called
  */
 struct cfs_link_events
 {
--- a/src/connection/session_run.c
+++ b/src/connection/session_run.c
@@ -174,6 +174,7 @@
 
   if (s->on_link)
     {
+      cfs_copy (s->op.target, sizeof s->op.target, cfs_link_target (s->link));
       use_link (s);
       return;
     }
@@ -331,7 +332,7 @@
       use_link (s);
       return;
     }
-  add_tried (&s->op, cfs_link_target (s->link));
+  add_tried (&s->op, s->op.target);
   s->link = NULL;
   start_over (s, r->code, BUSY_PAUSE_US, session_now (s));
 }
@@ -530,7 +531,7 @@
   int64_t now = session_now (s);
   bool ran = s->op.phase == OP_RUN;
 
-  add_tried (&s->op, cfs_link_target (s->link));
+  add_tried (&s->op, s->op.target);
   s->link = NULL;
   s->on_link = false;
   if (s->op.phase == OP_NONE)
--- a/tests/unit/members.c
+++ b/tests/unit/members.c
@@ -224,7 +224,7 @@
                                 .vote = m->vote,
                                 .count = m->count,
                                 .seed = cfs_random (&w->seed) };
-  char name[8];
+  char name[16];
 
   snprintf (name, sizeof name, "c%u", i + 1);
   copy_snapshot (&boot.snapshot, &m->snapshot);
--- a/tests/unit/shares_random.c
+++ b/tests/unit/shares_random.c
@@ -38,7 +38,7 @@
 
 struct host
 {
-  char name[8];
+  char name[16];
   bool up;
   bool cut;
   struct cfs_quota quota;
--- a/tests/world/sessions.c
+++ b/tests/world/sessions.c
@@ -222,7 +222,7 @@
 {
   struct ws_id *id = &w->ids[s->id];
   struct ws_caller *c = &w->callers[id->caller];
-  char team[8];
+  char team[16];
 
   snprintf (team, sizeof team, "team%u", id->caller % 2);
   if (strcmp (team, k->team) != 0)
@@ -562,7 +562,7 @@
 open_session (struct ws_caller *c)
 {
   struct world_sessions *w = c->world;
-  char key[8];
+  char key[16];
   enum cfs_reply_code code;
 
   snprintf (key, sizeof key, "key%u", c->index % 2);
--- a/tests/world/sessions.h
+++ b/tests/world/sessions.h
@@ -27,7 +27,7 @@
 /** struct ws_instance - one instance; its log is a length of the history */
 struct ws_instance
 {
-  char name[8];
+  char name[16];
   bool primary;
   bool alive;
   uint64_t term;
--- a/tests/world/succession.c
+++ b/tests/world/succession.c
@@ -24,7 +24,7 @@
 
 struct instance
 {
-  char name[8];
+  char name[16];
   bool alive;
   bool primary;
   bool cut;
