Finding listed: a commit lost at a planned change of primary

Read from the code: an instance that has started and not yet announced itself receives, so a commit may be acknowledged by it alone while all known replicas are paused.

--- a/tests/world/succession.c
+++ b/tests/world/succession.c
@@ -614,3 +614,22 @@
 {
   return &world->state;
 }
+
+void
+wsu_hide (unsigned i)
+{
+  struct cfs_table *targets = &world->state.targets;
+
+  for (size_t k = targets->count; k > 0; k--)
+    if (strcmp (cfs_table_at (targets, k - 1), world->instances[i].name) == 0)
+      cfs_table_remove (targets, k - 1);
+}
+
+void
+wsu_drain (unsigned i)
+{
+  struct cfs_target *t
+      = cfs_table_find (&world->state.targets, world->instances[i].name);
+
+  t->draining = true;
+}
--- a/tests/world/succession.h
+++ b/tests/world/succession.h
@@ -29,6 +29,12 @@
 /** wsu_cut() - the leader and hosts reach an instance, or do not */
 void wsu_cut (unsigned instance, bool cut);
 
+/** wsu_hide() - an instance receives and has not announced itself yet */
+void wsu_hide (unsigned instance);
+
+/** wsu_drain() - an instance announced that it leaves */
+void wsu_drain (unsigned instance);
+
 /** wsu_changes() - number of changes of primary so far */
 unsigned wsu_changes (void);
 
