--- a/tests/world/succession.c
+++ b/tests/world/succession.c
@@ -5,14 +5,10 @@
  */
 #include "succession.h"
 
-#include <setjmp.h>
-#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include <cmocka.h>
-
 #define INSTANCES 3
 #define SERVICE "db"
 #define STEP_US (10 * CFS_US_PER_MS)
@@ -167,7 +163,8 @@
 {
   struct fake_wire *k = (struct fake_wire *)base;
 
-  assert_int_equal (count, 1);
+  if (count != 1)
+    world->fault = "more than one question at a time";
   k->question = *s;
   k->asked = true;
   k->due = world->now + (int64_t)draw (60) * CFS_US_PER_MS;
@@ -279,7 +276,8 @@
 order (void *ctx, const char *service, const char *target, uint64_t fence)
 {
   (void)ctx;
-  assert_string_equal (service, SERVICE);
+  if (strcmp (service, SERVICE) != 0)
+    world->fault = "an order for another service";
   for (int i = 0; i < ORDERS_MAX; i++)
     {
       struct order *o = &world->orders[i];
