Control hosts log and count what they handle and how late their timers run

The line at the end of a term now has the messages handled in it by kind and the longest time for which the timers did not run; a warning (one a second at most) says the same of a single late run; metrics have both.

--- a/src/process/control.c
+++ b/src/process/control.c
@@ -447,13 +447,25 @@
   int64_t now = cfs_now ();
 
   if (msg->body_case == CFS__PEER__BODY_RAFT)
-    cfs_raft_receive (c->raft, msg->raft, now);
+    {
+      control_load_count (&c->load, CONTROL_MSG_RAFT);
+      cfs_raft_receive (c->raft, msg->raft, now);
+    }
   else if (msg->body_case == CFS__PEER__BODY_HEARTBEAT && from)
-    handle_heartbeat (c, from, msg->heartbeat, now);
+    {
+      control_load_count (&c->load, CONTROL_MSG_HEARTBEAT);
+      handle_heartbeat (c, from, msg->heartbeat, now);
+    }
   else if (msg->body_case == CFS__PEER__BODY_CALL && from)
-    handle_operator_request (c, from, msg->call, now);
+    {
+      control_load_count (&c->load, CONTROL_MSG_OPERATOR);
+      handle_operator_request (c, from, msg->call, now);
+    }
   else if (msg->body_case == CFS__PEER__BODY_TOKENS_ASK && from)
-    handle_token_request (c, from, msg->tokens_ask, now);
+    {
+      control_load_count (&c->load, CONTROL_MSG_TOKENS);
+      handle_token_request (c, from, msg->tokens_ask, now);
+    }
 }
 
 uint64_t
@@ -576,10 +588,14 @@
   if ((role == RAFT_LEADER) == (c->logged_role == RAFT_LEADER))
     return;
   c->logged_role = role;
-  cfs_log (CFS_NOTICE, PART,
-           role == RAFT_LEADER ? "became leader in term %" PRIu64
-                               : "is no longer leader in term %" PRIu64,
-           cfs_raft_term (c->raft));
+  if (role == RAFT_LEADER)
+    {
+      control_load_start_term (&c->load);
+      cfs_log (CFS_NOTICE, PART, "became leader in term %" PRIu64,
+               cfs_raft_term (c->raft));
+    }
+  else
+    control_load_log_term (&c->load, cfs_raft_term (c->raft));
 }
 
 void
@@ -587,6 +603,7 @@
 {
   bool confirmed;
 
+  control_load_tick (&c->load, now);
   cfs_raft_tick (c->raft, now);
   confirmed = cfs_raft_leader_confirmed (c->raft, now);
   cfs_leader_tick (c->leader, confirmed, cfs_raft_commit_index (c->raft), now);
--- a/src/process/control_fleet.c
+++ b/src/process/control_fleet.c
@@ -213,6 +213,7 @@
                           cfs_raft_term (c->raft),
                           cfs_raft_commit_index (c->raft),
                           cfs_raft_members (c->raft)->count, c->state.version);
+  control_load_metrics (&c->load, out);
   cfs_log_metrics (out);
 }
 
--- a/src/process/control_int.h
+++ b/src/process/control_int.h
@@ -6,6 +6,7 @@
 #define CFS_CONTROL_INT_H
 
 #include "control.h"
+#include "control_load.h"
 #include "disk.h"
 #include "leader.h"
 #include "net.h"
@@ -73,6 +74,7 @@
   size_t pending_cap;
   uint64_t audited_version;
   enum cfs_raft_role logged_role;
+  struct control_load load;
   struct fleet_state fleet;
 };
 
