A control host no longer aborts when a peer with a full queue disconnects

A control host would have ended by itself.

Cause: the receiving socket sent heartbeats on each connection.

Change: only the connecting side sends heartbeats; it sets a time-out in them (ZMQ_HEARTBEAT_TTL), after which the receiving side closes the connection, so a silent peer is noticed as before. The queues of the connecting side hold replies only, which the loop reads.

--- a/src/process/net.c
+++ b/src/process/net.c
@@ -64,8 +64,6 @@
   set_int (socket, ZMQ_LINGER, 0);
   set_int (socket, ZMQ_SNDHWM, QUEUE_LIMIT);
   set_int (socket, ZMQ_RCVHWM, QUEUE_LIMIT);
-  set_int (socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
-  set_int (socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
   set_int (socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
   set_int (socket, ZMQ_TCP_MAXRT, TCP_TIMEOUT_MS);
   set_int (socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS);
@@ -73,6 +71,18 @@
   set_int (socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 }
 
+/* The connecting side sends the heartbeats of a connection, and the time-out
+   in them closes it on the other side as well.  libzmq aborts the process when
+   a heartbeat is due on a connection that has filled its receive queue and was
+   closed by its peer; requests of others can fill it, replies cannot. */
+static void
+set_heartbeat_options (void *socket)
+{
+  set_int (socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
+  set_int (socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
+  set_int (socket, ZMQ_HEARTBEAT_TTL, HEARTBEAT_TIMEOUT_MS);
+}
+
 static bool
 open_router (struct cfs_net *n)
 {
@@ -158,6 +168,7 @@
   p->socket = zmq_socket (n->setup.zmq, ZMQ_DEALER);
   set_common_options (p->socket);
   set_int (p->socket, ZMQ_IMMEDIATE, 1);
+  set_heartbeat_options (p->socket);
   if (*n->setup.public_key)
     set_curve (n, p->socket);
   zmq_connect (p->socket, endpoint);
