A control host runs its timers however many messages arrive

Cause: cfs_net_pump() handled messages until none was left, and only then did the timers of the replicated log run. Hosts that wait for tokens send faster than a leader on its processor share can reply, so the loop never came to its timers: no heartbeats to followers, after 0.49 s no lease of the leader, denials to all, then the queue was empty and the leader stepped down. The next one met the same hosts. Once started by any loss of a leader under pressure this goes on for good.

Change: a pump handles at most 64 messages a socket and has the loop skip its wait if more may be there. ZeroMQ takes messages from connections in turn, so messages of members wait for one round at most.

Test: control_flood, three real control hosts and a flood over loopback; longest time without a leader 3,979 to 3,989 ms of 4 s before (3 of 3 runs fail), 14 to 30 ms after (6 of 6 pass); bound: the election time-out, 500 ms.

--- a/src/process/loop.c
+++ b/src/process/loop.c
@@ -28,7 +28,7 @@
   apr_pool_t *pool;
   apr_pollset_t *set;
   struct watch watches[LOOP_WATCHES_MAX];
-  int last;
+  bool skip_wait;
 };
 
 int64_t
@@ -103,8 +103,6 @@
       return CFS_IO;
     }
   w->used = true;
-  if (h > l->last)
-    l->last = h;
   return h;
 }
 
@@ -150,12 +148,22 @@
   w->used = false;
 }
 
+void
+cfs_loop_skip_wait (struct cfs_loop *l)
+{
+  l->skip_wait = true;
+}
+
 void
 cfs_loop_poll (struct cfs_loop *l, int64_t timeout_us)
 {
   const apr_pollfd_t *ready;
   apr_int32_t count = 0;
 
+  if (l->skip_wait)
+    timeout_us = 0;
+  l->skip_wait = false;
+
   if (apr_pollset_poll (l->set, timeout_us, &count, &ready) != APR_SUCCESS)
     return;
   for (apr_int32_t i = 0; i < count; i++)
--- a/src/process/loop.h
+++ b/src/process/loop.h
@@ -52,8 +52,8 @@
 /**
  * cfs_loop_add_zmq() - makes activity of a ZeroMQ socket end the wait
  *
- * ZeroMQ sockets are edge-triggered: the owner must receive until no message
- * is left before each wait.
+ * ZeroMQ sockets are edge-triggered: before each wait the owner must receive
+ * until no message is left, or call cfs_loop_skip_wait().
  * Return: as cfs_loop_add().
  */
 int cfs_loop_add_zmq (struct cfs_loop *loop, void *socket);
@@ -64,6 +64,10 @@
 /** cfs_loop_remove() - removes a watch; handle 0 is ignored */
 void cfs_loop_remove (struct cfs_loop *loop, int handle);
 
+/** cfs_loop_skip_wait() - makes the next cfs_loop_poll() return at once,
+ * because work is left that no descriptor announces */
+void cfs_loop_skip_wait (struct cfs_loop *loop);
+
 /**
  * cfs_loop_poll() - waits for events and calls their handlers
  * @loop: loop
--- a/src/process/net.c
+++ b/src/process/net.c
@@ -3,6 +3,10 @@
  * module rely on: a message is either sent on an established connection or
  * refused at once.  A single ROUTER socket for all peers does not work: with
  * ZMQ_IMMEDIATE it cannot address more than one peer reliably.
+ *
+ * A socket takes messages from its connections in turn, and one pump handles a
+ * bounded number.  However much some peers send, the timers of the loop run,
+ * and the messages of the other peers are handled.
  */
 #include "net.h"
 
@@ -15,6 +19,9 @@
 #include <zmq.h>
 
 #define QUEUE_LIMIT 10000
+/* Messages that are received from a socket before the loop's timers run
+   again. */
+#define RECEIVE_BATCH 64
 #define HEARTBEAT_MS 500
 #define HEARTBEAT_TIMEOUT_MS 1500
 #define CONNECT_TIMEOUT_MS 1000
@@ -258,14 +265,35 @@
   return got;
 }
 
+/* Returns whether the batch was used up, so that more may be waiting. */
+static bool
+receive_requests (struct cfs_net *n)
+{
+  for (int i = 0; i < RECEIVE_BATCH; i++)
+    if (!receive_request (n))
+      return false;
+  return true;
+}
+
+/* As receive_requests(), for the replies of one peer. */
+static bool
+receive_replies (struct cfs_net *n, size_t peer)
+{
+  for (int i = 0; i < RECEIVE_BATCH; i++)
+    if (!receive_reply (n, peer))
+      return false;
+  return true;
+}
+
 void
 cfs_net_pump (struct cfs_net *n)
 {
-  while (n->router && receive_request (n))
-    continue;
+  bool more = n->router && receive_requests (n);
+
   for (size_t i = 0; i < n->count; i++)
-    while (receive_reply (n, i))
-      continue;
+    more |= receive_replies (n, i);
+  if (more)
+    cfs_loop_skip_wait (n->loop);
 }
 
 /* Answers one request of ZAP, the ZeroMQ Authentication Protocol (RFC 27),
--- a/src/process/net.h
+++ b/src/process/net.h
@@ -74,10 +74,10 @@
                     const Cfs__Peer *msg);
 
 /**
- * cfs_net_pump() - receives and handles all messages that have arrived
+ * cfs_net_pump() - receives and handles messages, a bounded number
  *
  * To be called before each wait of the loop, because ZeroMQ sockets are
- * edge-triggered.
+ * edge-triggered.  If more messages may have arrived, that wait is skipped.
  */
 void cfs_net_pump (struct cfs_net *net);
 
