Token requests of a host are paced by the replies

Cause: a host asked for the tokens of each team on its own, again 60 ms after a denial or 120 ms without a reply, whatever the leader could do. With 71 teams nearly each turn of the loop had one due, up to 250 requests a second and host. After an election the buckets are empty and no shares are leased, so all teams need tokens at once.

Evidence: 6,449 token requests handled by one leader in 0.77 s of its term, with 80 hosts; 1,000 requests in 4 s from one host in the test.

Change: a host has one token request without a reply at a time, for all teams together, at most every 25 ms; without a reply it tries again after 120, then 240 ms. A slow leader gets fewer and larger requests. The count of tokens requested and not replied to, kept for each team, is no longer needed.

Test: quota_requests, 71 teams under pressure.

--- a/src/process/front.c
+++ b/src/process/front.c
@@ -165,6 +165,7 @@
 static void
 apply_token_grant (struct cfs_front *f, const Cfs__TokensGrant *g)
 {
+  cfs_quota_request_replied (&f->quota, g->sent_at_us);
   for (size_t i = 0; i < g->n_teams; i++)
     {
       const Cfs__TeamTokens *t = g->teams[i];
@@ -284,6 +285,8 @@
   Cfs__TeamTokens entries[TOKEN_REQUEST_TEAMS_MAX];
   Cfs__TeamTokens *teams[TOKEN_REQUEST_TEAMS_MAX];
 
+  if (!cfs_quota_may_request (&f->quota, now))
+    return;
   for (size_t i = 0;
        i < f->quota.teams.count && request.n_teams < TOKEN_REQUEST_TEAMS_MAX;
        i++)
@@ -306,6 +309,7 @@
   request.teams = teams;
   out.body_case = CFS__PEER__BODY_TOKENS_ASK;
   out.tokens_ask = &request;
+  cfs_quota_request_sent (&f->quota, now);
   cfs_thread_channel_send (f->channel, &out);
 }
 
--- a/src/request/quota.c
+++ b/src/request/quota.c
@@ -4,6 +4,10 @@
  * through each of many hosts would be refused although it is within its rate.
  * With single tokens alone, each request would cost a message, and none would
  * be served while the control leader changes.
+ *
+ * Token requests are paced by their replies.  Requests sent at a rate of their
+ * own would overload a new leader, whose buckets are empty, and go on doing
+ * so.
  */
 #include "quota.h"
 
@@ -17,8 +21,12 @@
 #define DEMAND_DECAY 0.2
 /* Tokens are prefetched for the demand expected within this time. */
 #define PREFETCH_US (200 * CFS_US_PER_MS)
-/* Time after which a token request without a reply counts as lost. */
+/* Minimum time between two token requests of a host. */
+#define REQUEST_INTERVAL_US (25 * CFS_US_PER_MS)
+/* Time after which a token request without a reply counts as lost; doubles
+   with each loss up to the maximum. */
 #define REPLY_TIMEOUT_US (120 * CFS_US_PER_MS)
+#define REPLY_TIMEOUT_MAX_US (240 * CFS_US_PER_MS)
 /* Delay of the next token request after one that was not granted in full. */
 #define DENIAL_PAUSE_US (60 * CFS_US_PER_MS)
 /* No tokens are prefetched for this time after a token was denied. */
@@ -35,6 +43,9 @@
   cfs_table_init (&q->teams, sizeof (struct cfs_quota_team));
   q->until = 0;
   q->used_at = now;
+  q->request_sent_at = 0;
+  q->next_request_at = 0;
+  q->reply_timeout_us = REPLY_TIMEOUT_US;
 }
 
 void
@@ -207,27 +218,47 @@
     t->waiting--;
 }
 
+bool
+cfs_quota_may_request (const struct cfs_quota *q, int64_t now)
+{
+  return now >= q->next_request_at;
+}
+
+void
+cfs_quota_request_sent (struct cfs_quota *q, int64_t now)
+{
+  bool lost = q->request_sent_at != 0;
+
+  q->reply_timeout_us
+      = lost ? q->reply_timeout_us * 2 : (int64_t)REPLY_TIMEOUT_US;
+  if (q->reply_timeout_us > REPLY_TIMEOUT_MAX_US)
+    q->reply_timeout_us = REPLY_TIMEOUT_MAX_US;
+  q->request_sent_at = now;
+  q->next_request_at = now + q->reply_timeout_us;
+}
+
+void
+cfs_quota_request_replied (struct cfs_quota *q, int64_t sent_at)
+{
+  if (q->request_sent_at != sent_at)
+    return;
+  q->request_sent_at = 0;
+  q->next_request_at = sent_at + REQUEST_INTERVAL_US;
+}
+
 uint32_t
-cfs_quota_tokens_to_request (struct cfs_quota_team *t, int64_t now)
+cfs_quota_tokens_to_request (const struct cfs_quota_team *t, int64_t now)
 {
   double ahead = (cfs_quota_demand (t, now) - t->share) * (double)PREFETCH_US
                  / CFS_US_PER_S;
   uint32_t needed = t->waiting;
-  uint32_t covered;
+  uint32_t covered = tokens_available (t, now);
 
   if (now < t->next_request_at)
     return 0;
-  if (now >= t->outstanding_until)
-    t->outstanding = 0;
   if (needed && ahead >= 1 && now - t->denied_at > PREFETCH_PAUSE_US)
     needed += (uint32_t)ahead;
-  covered = t->outstanding + tokens_available (t, now);
-  if (needed <= covered)
-    return 0;
-  needed -= covered;
-  t->outstanding += needed;
-  t->outstanding_until = now + REPLY_TIMEOUT_US;
-  return needed;
+  return needed > covered ? needed - covered : 0;
 }
 
 void
@@ -237,8 +268,6 @@
   struct cfs_quota_team *t = cfs_table_add (&q->teams, team);
   struct cfs_quota_grant *g = &t->grants[t->next_grant];
 
-  t->outstanding
-      -= reply->requested < t->outstanding ? reply->requested : t->outstanding;
   if (reply->count < reply->requested)
     t->next_request_at = reply->sent_at + DENIAL_PAUSE_US;
   if (reply->authoritative && reply->count < reply->requested
--- a/src/request/quota.h
+++ b/src/request/quota.h
@@ -35,12 +35,10 @@
  * @counted_at: start of the current measuring span
  * @grants: ring of tokens granted in addition to the share
  * @waiting: operations that wait for a token
- * @outstanding: tokens requested and not yet granted or denied
- * @outstanding_until: time after which these requests count as lost
  * @denied_at: time of the last token request that was denied
- * @next_request_at: earliest time of the next token request
+ * @next_request_at: earliest time at which tokens are requested again, after
+ * a denial
  * @granted: operations that got a token
- * @refused: not used
  */
 struct cfs_quota_team
 {
@@ -56,12 +54,9 @@
   struct cfs_quota_grant grants[QUOTA_GRANTS_MAX];
   size_t next_grant;
   uint32_t waiting;
-  uint32_t outstanding;
-  int64_t outstanding_until;
   int64_t denied_at;
   int64_t next_request_at;
   uint64_t granted;
-  uint64_t refused;
 };
 
 /**
@@ -69,6 +64,9 @@
  * @until: end of the lease on the shares
  * @used_at: time at which an operation last got a token, or of the start of
  * this host
+ * @request_sent_at: time of the token request that has no reply yet, or 0
+ * @next_request_at: earliest time of the next token request
+ * @reply_timeout_us: time after which a request without a reply counts as lost
  *
  * Owned by the traffic thread.
  */
@@ -77,6 +75,9 @@
   struct cfs_table teams;
   int64_t until;
   int64_t used_at;
+  int64_t request_sent_at;
+  int64_t next_request_at;
+  int64_t reply_timeout_us;
 };
 
 /** cfs_quota_init() - no shares, and no operation before @now */
@@ -130,12 +131,23 @@
                               bool starts);
 
 /**
- * cfs_quota_tokens_to_request() - number of tokens to request now
+ * cfs_quota_may_request() - whether a token request may be sent now
  *
- * The number returned counts as outstanding until the reply arrives or is
- * considered lost.
+ * A host has one request without a reply at a time, for all teams together, so
+ * a slow leader gets fewer and larger requests instead of more of them.
  */
-uint32_t cfs_quota_tokens_to_request (struct cfs_quota_team *team,
+bool cfs_quota_may_request (const struct cfs_quota *quota, int64_t now);
+
+/** cfs_quota_request_sent() - a token request was sent */
+void cfs_quota_request_sent (struct cfs_quota *quota, int64_t now);
+
+/** cfs_quota_request_replied() - the request sent at @sent_at was replied to;
+ * no effect if that is not the last one */
+void cfs_quota_request_replied (struct cfs_quota *quota, int64_t sent_at);
+
+/** cfs_quota_tokens_to_request() - number of tokens of a team that the next
+ * request is to contain */
+uint32_t cfs_quota_tokens_to_request (const struct cfs_quota_team *team,
                                       int64_t now);
 
 /**
--- /dev/null
+++ b/tests/unit/quota_requests.c
@@ -0,0 +1,168 @@
+/*
+ * Token requests of one host with many teams under pressure, to a control
+ * leader that replies at once, late or never: the host must not send faster
+ * than its requests are replied to.
+ */
+#include "../../src/request/quota.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define TEAMS 71
+#define STEP_US (4 * CFS_US_PER_MS)
+#define RUN_US (4 * CFS_US_PER_S)
+#define RUN_S (RUN_US / CFS_US_PER_S)
+/* Each team gets an operation in each such interval, one team after the
+   other. */
+#define OPERATION_INTERVAL_US (100 * CFS_US_PER_MS)
+#define SLOW_REPLY_US (100 * CFS_US_PER_MS)
+#define NO_REPLY INT64_MAX
+/* No more requests than replies could have come back from another region, 12
+   ms away. */
+#define REQUESTS_PER_S_MAX (1000 / 24)
+/* To a silent leader; 400 hosts then send 2,000 a second. */
+#define REQUESTS_TO_SILENT_PER_S_MAX 5
+
+struct host
+{
+  int64_t now;
+  int64_t reply_delay_us;
+  struct cfs_quota quota;
+  struct cfs_quota_team *teams[TEAMS];
+  uint32_t requested[TEAMS];
+  int64_t request_sent_at;
+  unsigned requests;
+  unsigned sent_before_reply;
+};
+
+static void
+start_host (struct host *h, int64_t reply_delay_us)
+{
+  memset (h, 0, sizeof *h);
+  h->now = CFS_US_PER_S;
+  h->reply_delay_us = reply_delay_us;
+  cfs_quota_init (&h->quota, h->now);
+  for (int i = 0; i < TEAMS; i++)
+    {
+      char name[16];
+
+      snprintf (name, sizeof name, "team%02d", i);
+      cfs_table_add (&h->quota.teams, name);
+    }
+  for (int i = 0; i < TEAMS; i++)
+    h->teams[i] = cfs_table_at (&h->quota.teams, (size_t)i);
+}
+
+static void
+add_operations (struct host *h)
+{
+  for (int i = 0; i < TEAMS; i++)
+    if ((h->now / STEP_US + i) % (OPERATION_INTERVAL_US / STEP_US) == 0)
+      {
+        cfs_quota_count_demand (&h->quota, h->teams[i]->team, h->now);
+        cfs_quota_count_waiting (&h->quota, h->teams[i]->team, true);
+      }
+}
+
+static void
+send_request (struct host *h)
+{
+  uint32_t total = 0;
+
+  if (!cfs_quota_may_request (&h->quota, h->now))
+    return;
+  for (int i = 0; i < TEAMS; i++)
+    {
+      h->requested[i] = cfs_quota_tokens_to_request (h->teams[i], h->now);
+      total += h->requested[i];
+    }
+  if (!total)
+    return;
+  cfs_quota_request_sent (&h->quota, h->now);
+  h->requests++;
+  h->sent_before_reply += h->request_sent_at != 0;
+  h->request_sent_at = h->now;
+}
+
+/* The leader has no tokens left and denies all. */
+static void
+receive_denials (struct host *h)
+{
+  if (!h->request_sent_at || h->reply_delay_us == NO_REPLY
+      || h->now - h->request_sent_at < h->reply_delay_us)
+    return;
+  cfs_quota_request_replied (&h->quota, h->request_sent_at);
+  for (int i = 0; i < TEAMS; i++)
+    {
+      struct cfs_quota_token_reply reply
+          = { .requested = h->requested[i], .sent_at = h->request_sent_at };
+
+      if (h->requested[i])
+        cfs_quota_add_tokens (&h->quota, h->teams[i]->team, &reply);
+    }
+  h->request_sent_at = 0;
+}
+
+static void
+run_host (struct host *h, int64_t reply_delay_us)
+{
+  start_host (h, reply_delay_us);
+  while (h->now < CFS_US_PER_S + RUN_US)
+    {
+      h->now += STEP_US;
+      add_operations (h);
+      receive_denials (h);
+      send_request (h);
+    }
+  cfs_quota_end (&h->quota);
+}
+
+static void
+requests_to_a_fast_leader_have_a_bounded_rate (void **state)
+{
+  static struct host h;
+
+  (void)state;
+  run_host (&h, 0);
+  assert_true (h.requests > 0);
+  assert_true (h.requests <= REQUESTS_PER_S_MAX * RUN_S);
+}
+
+static void
+a_slow_leader_is_not_sent_a_request_before_its_reply (void **state)
+{
+  static struct host h;
+
+  (void)state;
+  run_host (&h, SLOW_REPLY_US);
+  assert_true (h.requests > 0);
+  assert_int_equal (h.sent_before_reply, 0);
+}
+
+static void
+a_silent_leader_is_sent_fewer_requests (void **state)
+{
+  static struct host h;
+
+  (void)state;
+  run_host (&h, NO_REPLY);
+  assert_true (h.requests > RUN_S);
+  assert_true (h.requests <= REQUESTS_TO_SILENT_PER_S_MAX * RUN_S);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (requests_to_a_fast_leader_have_a_bounded_rate),
+    cmocka_unit_test (a_slow_leader_is_not_sent_a_request_before_its_reply),
+    cmocka_unit_test (a_silent_leader_is_sent_fewer_requests)
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/unit/shares_random.c
+++ b/tests/unit/shares_random.c
@@ -161,7 +161,10 @@
   uint32_t want = cfs_quota_tokens_to_request (team, w->now);
   struct pending_reply *pending;
 
-  if (!want || h->cut)
+  if (!want || !cfs_quota_may_request (&h->quota, w->now))
+    return;
+  cfs_quota_request_sent (&h->quota, w->now);
+  if (h->cut)
     return;
   pending = &h->token_replies[h->next_token_reply];
   h->next_token_reply = (h->next_token_reply + 1) % TOKEN_REPLIES_MAX;
@@ -183,6 +186,7 @@
           .authoritative = pending->authoritative,
           .sent_at = pending->sent_at };
 
+  cfs_quota_request_replied (&h->quota, pending->sent_at);
   cfs_quota_add_tokens (&h->quota, TEAM, &reply);
 }
 
