A peer that never stops sending lines does not hold the event loop

Cause: line_conn read from a connection until nothing was left. A caller whose statements are answered at once (SET, PREPARE) and that sends as fast as they are read kept a host from its other callers, its readiness check and its timers.

Test: platform, a peer that sends a line for each one read; before, one poll of the loop handled all 20,000 lines (fails), now a few, and the rest in the polls after it. Looked at as well and left: the channel between the two threads (what arrives there is bounded by heartbeats and paced token requests), libmicrohttpd (handles one read a connection and call), entries applied after an election (at most 512 or 4 MB).

--- a/tests/unit/platform.c
+++ b/tests/unit/platform.c
@@ -20,6 +20,7 @@
 #include <cmocka.h>
 
 #define MUTATIONS 20000
+#define ENDLESS_LINES 20000
 
 static const char document[]
     = "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"database\":\"sheet\","
@@ -338,19 +339,71 @@
   g_free (text);
 }
 
+/* A peer that sends a line for each line received from it, up to a limit. */
+struct endless_peer
+{
+  int fd;
+  unsigned lines;
+};
+
+static void
+send_another_line (void *owner, char *text, size_t len)
+{
+  static const char line[] = "QUERY 1 SET a b\r\n";
+  struct endless_peer *p = owner;
+
+  (void)text;
+  (void)len;
+  if (++p->lines < ENDLESS_LINES)
+    assert_true (send (p->fd, line, sizeof line - 1, MSG_NOSIGNAL) > 0);
+}
+
+static void
+a_peer_that_never_stops_sending_does_not_hold_the_loop (void **state)
+{
+  static const struct line_conn_events peer_events
+      = { NULL, send_another_line, on_closed };
+  static const struct line_conn_options options = { 1000, 1 };
+  struct endless_peer peer = { .lines = 0 };
+  apr_pool_t *pool;
+  struct cfs_loop *loop;
+  struct line_conn *l;
+  char text[] = "x\r\n";
+  int ends[2];
+
+  (void)state;
+  apr_pool_create (&pool, NULL);
+  loop = cfs_loop_new (pool);
+  assert_int_equal (socketpair (AF_UNIX, SOCK_STREAM, 0, ends), 0);
+  peer.fd = ends[1];
+  l = line_conn_accept (loop, ends[0], &options, &peer_events, &peer);
+  send_another_line (&peer, text, 1);
+  cfs_loop_poll (loop, 1000);
+  assert_true (peer.lines > 1);
+  assert_true (peer.lines < ENDLESS_LINES);
+  for (int i = 0; i < ENDLESS_LINES && peer.lines < ENDLESS_LINES; i++)
+    cfs_loop_poll (loop, 1000);
+  assert_int_equal (peer.lines, ENDLESS_LINES);
+  line_conn_free (l);
+  close (ends[1]);
+  apr_pool_destroy (pool);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (a_document_is_decoded_into_a_catalog),
-          cmocka_unit_test (invalid_documents_are_rejected),
-          cmocka_unit_test (unknown_fields_are_ignored),
-          cmocka_unit_test (reports_are_decoded_or_rejected),
-          cmocka_unit_test (statements_are_forwarded_unchanged),
-          cmocka_unit_test (a_minimum_position_precedes_the_statement),
-          cmocka_unit_test (mutated_input_never_crashes),
-          cmocka_unit_test (lines_are_reassembled_from_chunks_of_any_size),
-          cmocka_unit_test (an_overlong_line_closes_the_connection) };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_document_is_decoded_into_a_catalog),
+    cmocka_unit_test (invalid_documents_are_rejected),
+    cmocka_unit_test (unknown_fields_are_ignored),
+    cmocka_unit_test (reports_are_decoded_or_rejected),
+    cmocka_unit_test (statements_are_forwarded_unchanged),
+    cmocka_unit_test (a_minimum_position_precedes_the_statement),
+    cmocka_unit_test (mutated_input_never_crashes),
+    cmocka_unit_test (lines_are_reassembled_from_chunks_of_any_size),
+    cmocka_unit_test (an_overlong_line_closes_the_connection),
+    cmocka_unit_test (a_peer_that_never_stops_sending_does_not_hold_the_loop)
+  };
   int rc;
 
   apr_initialize ();
