A host waits for the reply to its heartbeat before it sends the next

Cause: a demand report made a heartbeat due at once, even with one on its way; the reply to that one was then dropped, and the host left the leader as silent and was sent back by another control host, three messages for one. A leader whose reply took 100 ms never had one accepted by a host with unsettled demand. A leader that was not confirmed named itself, and hosts asked it again without a pause.

Evidence: 395 heartbeats in 441 ms from 80 hosts (an interval of 300 ms asks for 118); test: 35 of the heartbeats in 1.5 s were sent before the reply to the one before.

Change: one heartbeat without a reply at a time; it counts as lost after 150 ms, then 300, 600. A host that did not reply is passed over for 0.6 s, so that others do not send hosts back to it. Only the first redirect is followed at once, later attempts to find the leader wait 25 to 200 ms.

Test: control_client, over loopback against control hosts that the test plays; both tests failed before, with this change both pass; mutants late-heartbeat-reply-given-up and redirect-followed-at-once.

--- a/src/process/control_client.c
+++ b/src/process/control_client.c
@@ -21,6 +21,16 @@
 /* The same after the host replied that it is not leader. */
 #define REQUEST_REFUSED_RETRY_US (50 * CFS_US_PER_MS)
 #define HTTP_UNAVAILABLE 503
+/* Delay before the next attempt to find the leader; doubles with each attempt
+   up to the maximum. */
+#define RETRY_US (25 * CFS_US_PER_MS)
+#define RETRY_MAX_US (200 * CFS_US_PER_MS)
+/* Time after which a heartbeat without a reply counts as lost; doubles with
+   each loss up to the maximum. */
+#define REPLY_TIMEOUT_US (150 * CFS_US_PER_MS)
+#define REPLY_TIMEOUT_MAX_US (600 * CFS_US_PER_MS)
+/* Time for which a host that did not reply is passed over. */
+#define SILENT_HOST_US (600 * CFS_US_PER_MS)
 /* Interval between heartbeats while a target is unreachable. */
 #define HEARTBEAT_SUSPECT_US (100 * CFS_US_PER_MS)
 /* After this time without a reply the loss of the control group is logged. */
@@ -43,6 +53,11 @@
 /**
  * struct cfs_control_client - connection to the control group
  * @reply_received: the last heartbeat was replied to
+ * @reply_timeout_us: time after which it counts as lost
+ * @retry_us: delay before the next attempt to find the leader, 0 if none
+ * failed since the leader's last reply
+ * @silent_host: host that did not reply last; no redirect to it is followed
+ * before @silent_until
  * @leader: index in @hosts of the host to which messages are sent
  * @directory: log index of the newest routing data received
  * @report: sent with each heartbeat, or NULL
@@ -60,6 +75,10 @@
   int64_t heartbeat_sent_at;
   int64_t next_heartbeat_at;
   bool reply_received;
+  int64_t reply_timeout_us;
+  int64_t retry_us;
+  char silent_host[CFS_NAME_MAX];
+  int64_t silent_until;
   bool control_lost;
   int64_t last_reply_at;
   struct cfs_control_host hosts[CONTROL_HOSTS_MAX];
@@ -215,6 +234,40 @@
              c->hosts[c->leader].host);
   c->control_lost = false;
   c->last_reply_at = now;
+  c->retry_us = 0;
+  c->reply_timeout_us = REPLY_TIMEOUT_US;
+}
+
+/* Delays the next heartbeat after an attempt to find the leader failed. */
+static void
+retry_later (struct cfs_control_client *c, int64_t now)
+{
+  c->retry_us = c->retry_us ? c->retry_us * 2 : RETRY_US;
+  if (c->retry_us > RETRY_MAX_US)
+    c->retry_us = RETRY_MAX_US;
+  c->next_heartbeat_at = now + c->retry_us;
+}
+
+/* Whether a heartbeat may be sent: one without a reply at a time, so that a
+   busy leader does not get more of them. */
+static bool
+may_send_heartbeat (const struct cfs_control_client *c, int64_t now)
+{
+  return now >= c->next_heartbeat_at
+         && (c->reply_received
+             || now - c->heartbeat_sent_at >= c->reply_timeout_us);
+}
+
+static void
+give_up_reply (struct cfs_control_client *c, int64_t now)
+{
+  log_control_lost (c, now);
+  cfs_copy (c->silent_host, sizeof c->silent_host, c->hosts[c->leader].host);
+  c->silent_until = now + SILENT_HOST_US;
+  select_next_host (c);
+  c->reply_timeout_us *= 2;
+  if (c->reply_timeout_us > REPLY_TIMEOUT_MAX_US)
+    c->reply_timeout_us = REPLY_TIMEOUT_MAX_US;
 }
 
 static void
@@ -223,11 +276,8 @@
   Cfs__Peer out = CFS__PEER__INIT;
   Cfs__Heartbeat h = CFS__HEARTBEAT__INIT;
 
-  if (!c->reply_received && c->seq)
-    {
-      log_control_lost (c, now);
-      select_next_host (c);
-    }
+  if (!c->reply_received)
+    give_up_reply (c, now);
   h.host = (char *)c->settings->host;
   h.zone = (char *)c->settings->zone;
   h.address = (char *)c->settings->address;
@@ -267,7 +317,12 @@
       g_clear_pointer (&c->uses, free_message);
     }
   else
-    c->next_heartbeat_at = now + HEARTBEAT_URGENT_US;
+    {
+      log_control_lost (c, now);
+      c->reply_received = true;
+      select_next_host (c);
+      retry_later (c, now);
+    }
   free (h.instances);
 }
 
@@ -314,6 +369,23 @@
   return r->granted ? c->heartbeat_sent_at + LEASE_US : 0;
 }
 
+/* Only the first redirect is followed without a delay: the hosts may name each
+   other, or a leader itself while it is not confirmed. */
+static void
+follow_redirect (struct cfs_control_client *c, const char *leader, int64_t now)
+{
+  bool first = c->retry_us == 0;
+  bool silent = strcmp (leader, c->silent_host) == 0 && now < c->silent_until;
+
+  if (silent)
+    select_next_host (c);
+  else
+    select_host (c, leader);
+  retry_later (c, now);
+  if (first && !silent)
+    c->next_heartbeat_at = now;
+}
+
 static void
 handle_reply (struct cfs_control_client *c, Cfs__HeartbeatReply *r,
               int64_t now)
@@ -323,21 +395,20 @@
 
   if (r->seq != c->seq)
     return;
-  /* The sender is not leader and knows of none. */
-  if (!*r->leader && !r->granted && r->version == 0)
+  c->reply_received = true;
+  if (*r->leader)
     {
-      select_next_host (c);
-      c->next_heartbeat_at = now + HEARTBEAT_URGENT_US;
-      c->reply_received = true;
+      follow_redirect (c, r->leader, now);
       return;
     }
-  else if (*r->leader)
+  /* The sender is not leader and knows of none. */
+  if (!r->granted && r->version == 0)
     {
-      select_host (c, r->leader);
-      c->next_heartbeat_at = now;
+      select_next_host (c);
+      retry_later (c, now);
+      return;
     }
-  c->reply_received = true;
-  if (*r->leader || !apply_versions (c, r))
+  if (!apply_versions (c, r))
     return;
   record_reply (c, now);
   if (r->directory > c->directory)
@@ -411,6 +482,8 @@
   c->document = cfs_strdup ("{}");
   c->boot_id = boot_id;
   c->last_reply_at = cfs_now ();
+  c->reply_received = true;
+  c->reply_timeout_us = REPLY_TIMEOUT_US;
   c->host_count = settings->control_count;
   memcpy (c->hosts, settings->control,
           settings->control_count * sizeof c->hosts[0]);
@@ -436,6 +509,14 @@
   free (c);
 }
 
+/* Makes the next heartbeat due, unless the leader is being looked for. */
+static void
+send_at_once (struct cfs_control_client *c)
+{
+  if (c->retry_us == 0)
+    c->next_heartbeat_at = 0;
+}
+
 void
 cfs_control_client_report (struct cfs_control_client *c, Cfs__Peer *report)
 {
@@ -450,14 +531,14 @@
     {
       g_clear_pointer (&c->uses, free_message);
       c->uses = report;
-      c->next_heartbeat_at = 0;
+      send_at_once (c);
       return;
     }
   if (c->report)
     cfs__peer__free_unpacked (c->report, NULL);
   c->report = report;
   if (is_urgent (c) || report->heartbeat->n_suspects)
-    c->next_heartbeat_at = 0;
+    send_at_once (c);
 }
 
 void
@@ -522,7 +603,7 @@
 void
 cfs_control_client_tick (struct cfs_control_client *c, int64_t now)
 {
-  if (now >= c->next_heartbeat_at)
+  if (may_send_heartbeat (c, now))
     send_heartbeat (c, now);
   tick_requests (c, now);
 }
--- /dev/null
+++ b/tests/unit/control_client.c
@@ -0,0 +1,285 @@
+/*
+ * Heartbeats of a host to two control hosts that this test plays, over
+ * loopback and in real time: a leader that replies late, and one that names
+ * itself while it is not confirmed.
+ */
+#include "../../src/process/control_client.h"
+#include "../../src/process/net.h"
+
+#include <apr_general.h>
+#include <apr_pools.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <zmq.h>
+
+#define LEADER 0
+#define CONTROL_HOSTS 2
+#define FIRST_PORT 7392
+#define RUN_US (1500 * CFS_US_PER_MS)
+#define TICK_US CFS_US_PER_MS
+/* Interval of the demand reports, each of which makes a heartbeat due. */
+#define DEMAND_INTERVAL_US (20 * CFS_US_PER_MS)
+#define SLOW_REPLY_US (100 * CFS_US_PER_MS)
+/* A redirect is followed at most this often, on average. */
+#define REDIRECTS_PER_S_MAX 20
+
+struct world;
+
+/* A control host played by the test; it replies to the last heartbeat after
+   the delay. */
+struct played_host
+{
+  struct world *world;
+  struct cfs_net *net;
+  struct cfs_origin from;
+  uint64_t seq;
+  int64_t received_at;
+  bool replied;
+  unsigned heartbeats;
+  unsigned unreplied;
+};
+
+struct world
+{
+  apr_pool_t *pool;
+  struct cfs_loop *loop;
+  void *zmq;
+  struct cfs_settings settings;
+  struct cfs_control_client *client;
+  struct played_host hosts[CONTROL_HOSTS];
+  int64_t reply_delay_us;
+  const char *names_leader;
+  unsigned accepted;
+  uint32_t number;
+};
+
+static void
+receive (void *ctx, const struct cfs_origin *from, const Cfs__Peer *msg)
+{
+  struct played_host *h = ctx;
+
+  if (msg->body_case != CFS__PEER__BODY_HEARTBEAT)
+    return;
+  h->heartbeats++;
+  h->unreplied += !h->replied;
+  h->from = *from;
+  h->seq = msg->heartbeat->seq;
+  h->received_at = cfs_now ();
+  h->replied = false;
+}
+
+static void
+reply_if_due (struct played_host *h)
+{
+  Cfs__Peer out = CFS__PEER__INIT;
+  Cfs__HeartbeatReply reply = CFS__HEARTBEAT_REPLY__INIT;
+  const struct world *w = h->world;
+
+  if (h->replied || cfs_now () - h->received_at < w->reply_delay_us)
+    return;
+  reply.seq = h->seq;
+  reply.granted = !*w->names_leader;
+  reply.leader = (char *)w->names_leader;
+  out.body_case = CFS__PEER__BODY_REPLY;
+  out.reply = &reply;
+  cfs_net_reply (h->net, &h->from, &out);
+  h->replied = true;
+}
+
+static void
+on_reply (void *ctx, Cfs__HeartbeatReply *reply)
+{
+  (void)reply;
+  ((struct world *)ctx)->accepted++;
+}
+
+static void
+ignore_operator_reply (void *ctx, Cfs__OperatorReply *reply)
+{
+  (void)ctx;
+  (void)reply;
+}
+
+static void
+ignore_tokens (void *ctx, Cfs__TokensGrant *grant)
+{
+  (void)ctx;
+  (void)grant;
+}
+
+static const struct cfs_control_client_ops client_ops
+    = { on_reply, ignore_operator_reply, ignore_tokens };
+
+static void
+open_played_host (struct world *w, unsigned i)
+{
+  struct played_host *h = &w->hosts[i];
+  struct cfs_control_host *entry = &w->settings.control[i];
+  struct cfs_net_setup setup = { .zmq = w->zmq,
+                                 .port = FIRST_PORT + w->number,
+                                 .public_key = "",
+                                 .secret_key = "",
+                                 .receive = receive,
+                                 .ctx = h };
+
+  h->world = w;
+  h->replied = true;
+  cfs_copy (entry->host, sizeof entry->host,
+            i == LEADER ? "127.0.0.95" : "127.0.0.96");
+  cfs_copy (entry->address, sizeof entry->address, entry->host);
+  entry->port = setup.port;
+  setup.address = entry->address;
+  h->net = cfs_net_new (&setup, w->loop);
+  assert_non_null (h->net);
+}
+
+static struct world *
+new_world (int64_t reply_delay_us)
+{
+  static uint32_t count;
+  struct world *w = cfs_alloc (sizeof *w);
+
+  w->number = count++;
+  w->reply_delay_us = reply_delay_us;
+  w->names_leader = "";
+  w->zmq = zmq_ctx_new ();
+  apr_pool_create (&w->pool, NULL);
+  w->loop = cfs_loop_new (w->pool);
+  w->settings.uses_seeds = true;
+  w->settings.document_lease_us = 3 * CFS_US_PER_S;
+  w->settings.control_count = CONTROL_HOSTS;
+  for (unsigned i = 0; i < CONTROL_HOSTS; i++)
+    open_played_host (w, i);
+  w->client = cfs_control_client_new (&client_ops, w, &w->settings, 1, w->zmq,
+                                      w->loop);
+  return w;
+}
+
+static void
+free_world (struct world *w)
+{
+  cfs_control_client_free (w->client);
+  for (unsigned i = 0; i < CONTROL_HOSTS; i++)
+    cfs_net_free (w->hosts[i].net);
+  zmq_ctx_term (w->zmq);
+  apr_pool_destroy (w->pool);
+  free (w);
+}
+
+/* As the traffic thread does; the client frees the message. */
+static void
+report_demand (struct world *w)
+{
+  Cfs__Peer *msg = malloc (sizeof *msg);
+  Cfs__Heartbeat *h = malloc (sizeof *h);
+  Cfs__TeamUse *use = malloc (sizeof *use);
+
+  cfs__peer__init (msg);
+  cfs__heartbeat__init (h);
+  cfs__team_use__init (use);
+  h->uses = malloc (sizeof *h->uses);
+  h->uses[0] = use;
+  h->n_uses = 1;
+  msg->body_case = CFS__PEER__BODY_HEARTBEAT;
+  msg->heartbeat = h;
+  cfs_control_client_report (w->client, msg);
+}
+
+static void
+run_world (struct world *w, int64_t us)
+{
+  int64_t until = cfs_now () + us;
+  int64_t next_demand_at = 0;
+
+  while (cfs_now () < until)
+    {
+      int64_t now = cfs_now ();
+
+      if (now >= next_demand_at)
+        {
+          report_demand (w);
+          next_demand_at = now + DEMAND_INTERVAL_US;
+        }
+      cfs_control_client_pump (w->client);
+      for (unsigned i = 0; i < CONTROL_HOSTS; i++)
+        {
+          cfs_net_pump (w->hosts[i].net);
+          reply_if_due (&w->hosts[i]);
+        }
+      cfs_loop_poll (w->loop, TICK_US);
+      cfs_control_client_tick (w->client, cfs_now ());
+    }
+}
+
+/* Lets the client connect and find the leader, then drops the counts. */
+static void
+settle (struct world *w)
+{
+  int64_t delay = w->reply_delay_us;
+
+  w->reply_delay_us = 0;
+  run_world (w, CFS_US_PER_S / 2);
+  w->reply_delay_us = delay;
+  w->accepted = 0;
+  for (unsigned i = 0; i < CONTROL_HOSTS; i++)
+    w->hosts[i].heartbeats = w->hosts[i].unreplied = 0;
+}
+
+static void
+a_late_reply_is_awaited (void **state)
+{
+  struct world *w = new_world (SLOW_REPLY_US);
+  unsigned heartbeats = 0;
+
+  (void)state;
+  settle (w);
+  run_world (w, RUN_US);
+  for (unsigned i = 0; i < CONTROL_HOSTS; i++)
+    {
+      assert_int_equal (w->hosts[i].unreplied, 0);
+      heartbeats += w->hosts[i].heartbeats;
+    }
+  assert_true (heartbeats >= RUN_US / SLOW_REPLY_US / 2);
+  assert_true (w->accepted + 1 >= heartbeats);
+  free_world (w);
+}
+
+static void
+a_leader_that_names_itself_is_not_asked_without_pause (void **state)
+{
+  struct world *w = new_world (0);
+  unsigned heartbeats = 0;
+
+  (void)state;
+  settle (w);
+  w->names_leader = w->settings.control[LEADER].host;
+  run_world (w, RUN_US);
+  for (unsigned i = 0; i < CONTROL_HOSTS; i++)
+    heartbeats += w->hosts[i].heartbeats;
+  assert_true (heartbeats > 1);
+  assert_true (heartbeats <= REDIRECTS_PER_S_MAX * RUN_US / CFS_US_PER_S);
+  assert_int_equal (w->accepted, 0);
+  w->names_leader = "";
+  run_world (w, CFS_US_PER_S / 2);
+  assert_true (w->accepted > 0);
+  free_world (w);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_late_reply_is_awaited),
+    cmocka_unit_test (a_leader_that_names_itself_is_not_asked_without_pause)
+  };
+  int rc;
+
+  apr_initialize ();
+  rc = cmocka_run_group_tests (tests, NULL, NULL);
+  apr_terminate ();
+  return rc;
+}
