Teams that do not fit into a token request take turns

Found in reading, while the requests were paced: a request holds 64 teams and began with the first by name each time. With more teams under pressure than the pause after a denial lets through, 192 at the present pace, the last ones by name would never be in a request.

Change: cfs_quota_start_request() begins after the last team of the request before; it also takes the loop over the teams from front.c, which had it with the pacing in three calls.

--- a/src/process/front.c
+++ b/src/process/front.c
@@ -284,32 +284,24 @@
   Cfs__TokensAsk request = CFS__TOKENS_ASK__INIT;
   Cfs__TeamTokens entries[TOKEN_REQUEST_TEAMS_MAX];
   Cfs__TeamTokens *teams[TOKEN_REQUEST_TEAMS_MAX];
+  struct cfs_quota_need needs[TOKEN_REQUEST_TEAMS_MAX];
 
-  if (!cfs_quota_may_request (&f->quota, now))
+  request.n_teams = cfs_quota_start_request (&f->quota, needs,
+                                             TOKEN_REQUEST_TEAMS_MAX, now);
+  if (!request.n_teams)
     return;
-  for (size_t i = 0;
-       i < f->quota.teams.count && request.n_teams < TOKEN_REQUEST_TEAMS_MAX;
-       i++)
+  for (size_t i = 0; i < request.n_teams; i++)
     {
-      struct cfs_quota_team *r = cfs_table_at (&f->quota.teams, i);
-      uint32_t count = r->waiting ? cfs_quota_tokens_to_request (r, now) : 0;
-      Cfs__TeamTokens *tokens = &entries[request.n_teams];
-
-      if (!count)
-        continue;
-      cfs__team_tokens__init (tokens);
-      tokens->team = r->team;
-      tokens->count = count;
-      teams[request.n_teams++] = tokens;
+      cfs__team_tokens__init (&entries[i]);
+      entries[i].team = (char *)needs[i].team;
+      entries[i].count = needs[i].count;
+      teams[i] = &entries[i];
     }
-  if (!request.n_teams)
-    return;
   request.host = (char *)f->settings->host;
   request.sent_at_us = now;
   request.teams = teams;
   out.body_case = CFS__PEER__BODY_TOKENS_ASK;
   out.tokens_ask = &request;
-  cfs_quota_request_sent (&f->quota, now);
   cfs_thread_channel_send (f->channel, &out);
 }
 
--- a/src/request/quota.c
+++ b/src/request/quota.c
@@ -46,6 +46,7 @@
   q->request_sent_at = 0;
   q->next_request_at = 0;
   q->reply_timeout_us = REPLY_TIMEOUT_US;
+  q->next_team = 0;
 }
 
 void
@@ -218,14 +219,8 @@
     t->waiting--;
 }
 
-bool
-cfs_quota_may_request (const struct cfs_quota *q, int64_t now)
-{
-  return now >= q->next_request_at;
-}
-
-void
-cfs_quota_request_sent (struct cfs_quota *q, int64_t now)
+static void
+note_request_sent (struct cfs_quota *q, int64_t now)
 {
   bool lost = q->request_sent_at != 0;
 
@@ -246,21 +241,48 @@
   q->next_request_at = sent_at + REQUEST_INTERVAL_US;
 }
 
-uint32_t
-cfs_quota_tokens_to_request (const struct cfs_quota_team *t, int64_t now)
+static uint32_t
+tokens_to_request (const struct cfs_quota_team *t, int64_t now)
 {
   double ahead = (cfs_quota_demand (t, now) - t->share) * (double)PREFETCH_US
                  / CFS_US_PER_S;
   uint32_t needed = t->waiting;
   uint32_t covered = tokens_available (t, now);
 
-  if (now < t->next_request_at)
+  if (!needed || now < t->next_request_at)
     return 0;
-  if (needed && ahead >= 1 && now - t->denied_at > PREFETCH_PAUSE_US)
+  if (ahead >= 1 && now - t->denied_at > PREFETCH_PAUSE_US)
     needed += (uint32_t)ahead;
   return needed > covered ? needed - covered : 0;
 }
 
+size_t
+cfs_quota_start_request (struct cfs_quota *q, struct cfs_quota_need *needs,
+                         size_t max, int64_t now)
+{
+  size_t first = q->next_team;
+  size_t count = 0;
+
+  if (now < q->next_request_at)
+    return 0;
+  for (size_t i = 0; i < q->teams.count && count < max; i++)
+    {
+      size_t at = (first + i) % q->teams.count;
+      const struct cfs_quota_team *t = cfs_table_at (&q->teams, at);
+      uint32_t tokens = tokens_to_request (t, now);
+
+      if (!tokens)
+        continue;
+      needs[count].team = t->team;
+      needs[count].count = tokens;
+      count++;
+      q->next_team = at + 1;
+    }
+  if (count)
+    note_request_sent (q, now);
+  return count;
+}
+
 void
 cfs_quota_add_tokens (struct cfs_quota *q, const char *team,
                       const struct cfs_quota_token_reply *reply)
--- a/src/request/quota.h
+++ b/src/request/quota.h
@@ -67,6 +67,7 @@
  * @request_sent_at: time of the token request that has no reply yet, or 0
  * @next_request_at: earliest time of the next token request
  * @reply_timeout_us: time after which a request without a reply counts as lost
+ * @next_team: index of the team with which the next token request begins
  *
  * Owned by the traffic thread.
  */
@@ -78,6 +79,7 @@
   int64_t request_sent_at;
   int64_t next_request_at;
   int64_t reply_timeout_us;
+  size_t next_team;
 };
 
 /** cfs_quota_init() - no shares, and no operation before @now */
@@ -130,26 +132,31 @@
 void cfs_quota_count_waiting (struct cfs_quota *quota, const char *team,
                               bool starts);
 
+/** struct cfs_quota_need - tokens that a request is to contain for a team */
+struct cfs_quota_need
+{
+  const char *team;
+  uint32_t count;
+};
+
 /**
- * cfs_quota_may_request() - whether a token request may be sent now
+ * cfs_quota_start_request() - decides on a token request
+ * @needs: filled with the teams of the request
+ * @max: number of teams that fit; the next request continues after the last
  *
  * A host has one request without a reply at a time, for all teams together, so
  * a slow leader gets fewer and larger requests instead of more of them.
+ *
+ * Return: number of teams of a request that the caller is to send now, or 0.
  */
-bool cfs_quota_may_request (const struct cfs_quota *quota, int64_t now);
-
-/** cfs_quota_request_sent() - a token request was sent */
-void cfs_quota_request_sent (struct cfs_quota *quota, int64_t now);
+size_t cfs_quota_start_request (struct cfs_quota *quota,
+                                struct cfs_quota_need *needs, size_t max,
+                                int64_t now);
 
 /** cfs_quota_request_replied() - the request sent at @sent_at was replied to;
  * no effect if that is not the last one */
 void cfs_quota_request_replied (struct cfs_quota *quota, int64_t sent_at);
 
-/** cfs_quota_tokens_to_request() - number of tokens of a team that the next
- * request is to contain */
-uint32_t cfs_quota_tokens_to_request (const struct cfs_quota_team *team,
-                                      int64_t now);
-
 /**
  * struct cfs_quota_token_reply - the control leader's reply to a token request
  * @requested: number of tokens requested
--- a/tests/unit/quota_requests.c
+++ b/tests/unit/quota_requests.c
@@ -5,6 +5,8 @@
  */
 #include "../../src/request/quota.h"
 
+#include <glib.h>
+#include <limits.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -14,6 +16,8 @@
 #include <cmocka.h>
 
 #define TEAMS 71
+/* Teams that fit into one request; fewer than there are. */
+#define REQUEST_TEAMS_MAX 20
 #define STEP_US (4 * CFS_US_PER_MS)
 #define RUN_US (4 * CFS_US_PER_S)
 #define RUN_S (RUN_US / CFS_US_PER_S)
@@ -34,7 +38,10 @@
   int64_t reply_delay_us;
   struct cfs_quota quota;
   struct cfs_quota_team *teams[TEAMS];
-  uint32_t requested[TEAMS];
+  struct cfs_quota_need needs[TEAMS];
+  size_t need_count;
+  size_t need_max;
+  unsigned requests_of_team[TEAMS];
   int64_t request_sent_at;
   unsigned requests;
   unsigned sent_before_reply;
@@ -69,21 +76,25 @@
       }
 }
 
+static void
+count_teams (struct host *h)
+{
+  for (size_t n = 0; n < h->need_count; n++)
+    for (int i = 0; i < TEAMS; i++)
+      h->requests_of_team[i]
+          += strcmp (h->needs[n].team, h->teams[i]->team) == 0;
+}
+
 static void
 send_request (struct host *h)
 {
-  uint32_t total = 0;
+  size_t count
+      = cfs_quota_start_request (&h->quota, h->needs, h->need_max, h->now);
 
-  if (!cfs_quota_may_request (&h->quota, h->now))
+  if (!count)
     return;
-  for (int i = 0; i < TEAMS; i++)
-    {
-      h->requested[i] = cfs_quota_tokens_to_request (h->teams[i], h->now);
-      total += h->requested[i];
-    }
-  if (!total)
-    return;
-  cfs_quota_request_sent (&h->quota, h->now);
+  h->need_count = count;
+  count_teams (h);
   h->requests++;
   h->sent_before_reply += h->request_sent_at != 0;
   h->request_sent_at = h->now;
@@ -97,21 +108,21 @@
       || h->now - h->request_sent_at < h->reply_delay_us)
     return;
   cfs_quota_request_replied (&h->quota, h->request_sent_at);
-  for (int i = 0; i < TEAMS; i++)
+  for (size_t i = 0; i < h->need_count; i++)
     {
       struct cfs_quota_token_reply reply
-          = { .requested = h->requested[i], .sent_at = h->request_sent_at };
+          = { .requested = h->needs[i].count, .sent_at = h->request_sent_at };
 
-      if (h->requested[i])
-        cfs_quota_add_tokens (&h->quota, h->teams[i]->team, &reply);
+      cfs_quota_add_tokens (&h->quota, h->needs[i].team, &reply);
     }
   h->request_sent_at = 0;
 }
 
 static void
-run_host (struct host *h, int64_t reply_delay_us)
+run_host (struct host *h, int64_t reply_delay_us, size_t need_max)
 {
   start_host (h, reply_delay_us);
+  h->need_max = need_max;
   while (h->now < CFS_US_PER_S + RUN_US)
     {
       h->now += STEP_US;
@@ -128,7 +139,7 @@
   static struct host h;
 
   (void)state;
-  run_host (&h, 0);
+  run_host (&h, 0, TEAMS);
   assert_true (h.requests > 0);
   assert_true (h.requests <= REQUESTS_PER_S_MAX * RUN_S);
 }
@@ -139,7 +150,7 @@
   static struct host h;
 
   (void)state;
-  run_host (&h, SLOW_REPLY_US);
+  run_host (&h, SLOW_REPLY_US, TEAMS);
   assert_true (h.requests > 0);
   assert_int_equal (h.sent_before_reply, 0);
 }
@@ -150,18 +161,36 @@
   static struct host h;
 
   (void)state;
-  run_host (&h, NO_REPLY);
+  run_host (&h, NO_REPLY, TEAMS);
   assert_true (h.requests > RUN_S);
   assert_true (h.requests <= REQUESTS_TO_SILENT_PER_S_MAX * RUN_S);
 }
 
+static void
+teams_that_do_not_fit_take_turns (void **state)
+{
+  static struct host h;
+  unsigned equal_part;
+  unsigned least = UINT_MAX;
+
+  (void)state;
+  run_host (&h, 0, REQUEST_TEAMS_MAX);
+  equal_part = h.requests * REQUEST_TEAMS_MAX / TEAMS;
+  for (int i = 0; i < TEAMS; i++)
+    least = MIN (least, h.requests_of_team[i]);
+  if (getenv ("TRACE"))
+    printf ("least %u, equal part %u\n", least, equal_part);
+  assert_true (least * 2 >= equal_part);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (requests_to_a_fast_leader_have_a_bounded_rate),
     cmocka_unit_test (a_slow_leader_is_not_sent_a_request_before_its_reply),
-    cmocka_unit_test (a_silent_leader_is_sent_fewer_requests)
+    cmocka_unit_test (a_silent_leader_is_sent_fewer_requests),
+    cmocka_unit_test (teams_that_do_not_fit_take_turns)
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/unit/shares_random.c
+++ b/tests/unit/shares_random.c
@@ -157,21 +157,17 @@
 request_tokens (struct world *w, struct host *h)
 {
   const struct cfs_team_limits *t = &w->catalog->teams[0];
-  struct cfs_quota_team *team = cfs_table_add (&h->quota.teams, TEAM);
-  uint32_t want = cfs_quota_tokens_to_request (team, w->now);
+  struct cfs_quota_need need;
   struct pending_reply *pending;
 
-  if (!want || !cfs_quota_may_request (&h->quota, w->now))
-    return;
-  cfs_quota_request_sent (&h->quota, w->now);
-  if (h->cut)
+  if (!cfs_quota_start_request (&h->quota, &need, 1, w->now) || h->cut)
     return;
   pending = &h->token_replies[h->next_token_reply];
   h->next_token_reply = (h->next_token_reply + 1) % TOKEN_REPLIES_MAX;
-  pending->requested = want;
+  pending->requested = need.count;
   pending->authoritative = cfs_shares_is_accurate (&w->shares, w->now);
-  pending->tokens
-      = cfs_shares_grant (&w->shares, TEAM, t->rate, t->burst, want, w->now);
+  pending->tokens = cfs_shares_grant (&w->shares, TEAM, t->rate, t->burst,
+                                      need.count, w->now);
   pending->in_flight = w->reliable || random_below (w, 10) > 0;
   pending->sent_at = w->now;
   pending->deliver_at = w->now + (int64_t)random_below (w, 60) * CFS_US_PER_MS;
