--- a/src/process/control_client.c
+++ b/src/process/control_client.c
@@ -7,6 +7,7 @@
 
 #include "../version/conf.h"
 #include "control.h"
+#include "control_hosts.h"
 #include "leader.h"
 #include "log.h"
 #include "net.h"
@@ -29,14 +30,10 @@
    each loss up to the maximum. */
 #define REPLY_TIMEOUT_US (150 * CFS_US_PER_MS)
 #define REPLY_TIMEOUT_MAX_US (600 * CFS_US_PER_MS)
-/* Time for which a host that did not reply is passed over. */
-#define SILENT_HOST_US (600 * CFS_US_PER_MS)
 /* Interval between heartbeats while a target is unreachable. */
 #define HEARTBEAT_SUSPECT_US (100 * CFS_US_PER_MS)
 /* After this time without a reply the loss of the control group is logged. */
 #define CONTROL_LOST_US (1500 * CFS_US_PER_MS)
-/* Maximum number of known control hosts: members and seeds. */
-#define CONTROL_HOSTS_MAX 24
 
 /**
  * struct forwarded_request - operator request without a reply so far
@@ -56,9 +53,7 @@
  * @reply_timeout_us: time after which it counts as lost
  * @retry_us: delay before the next attempt to find the leader, 0 if none
  * failed since the leader's last reply
- * @silent_host: host that did not reply last; no redirect to it is followed
- * before @silent_until
- * @leader: index in @hosts of the host to which messages are sent
+ * @hosts: known control hosts; messages are sent to the selected one
  * @directory: log index of the newest routing data received
  * @report: sent with each heartbeat, or NULL
  * @uses: uses of teams for the next heartbeat, or NULL
@@ -77,14 +72,9 @@
   bool reply_received;
   int64_t reply_timeout_us;
   int64_t retry_us;
-  char silent_host[CFS_NAME_MAX];
-  int64_t silent_until;
   bool control_lost;
   int64_t last_reply_at;
-  struct cfs_control_host hosts[CONTROL_HOSTS_MAX];
-  size_t host_count;
-  size_t leader;
-  uint64_t members_hash;
+  struct control_hosts hosts;
   uint64_t version;
   uint64_t directory;
   char *document;
@@ -98,67 +88,10 @@
   size_t request_cap;
 };
 
-static void
-select_next_host (struct cfs_control_client *c)
-{
-  c->leader++;
-  if (c->leader >= c->host_count)
-    c->leader = 0;
-}
-
-/* Control hosts that were found through seeds have their IP address as
-   name. */
-static void
-add_host (struct cfs_control_client *c, const char *name)
-{
-  struct cfs_control_host *h;
-
-  for (size_t i = 0; i < c->host_count; i++)
-    if (strcmp (c->hosts[i].host, name) == 0)
-      return;
-  if (!c->settings->uses_seeds || c->host_count == CONTROL_HOSTS_MAX)
-    return;
-  h = &c->hosts[c->host_count++];
-  cfs_copy (h->host, sizeof h->host, name);
-  cfs_copy (h->address, sizeof h->address, name);
-  h->port = c->settings->peer_port;
-}
-
-static void
-select_host (struct cfs_control_client *c, const char *name)
-{
-  add_host (c, name);
-  for (size_t i = 0; i < c->host_count; i++)
-    if (strcmp (c->hosts[i].host, name) == 0)
-      {
-        c->leader = i;
-        return;
-      }
-  select_next_host (c);
-}
-
-/* Replaces all known control hosts but the seeds with the members. */
-static void
-update_hosts (struct cfs_control_client *c, const Cfs__HeartbeatReply *r)
-{
-  char leader[CFS_NAME_MAX];
-
-  if (r->n_members == 0 || !c->settings->uses_seeds)
-    return;
-  cfs_copy (leader, sizeof leader, c->hosts[c->leader].host);
-  c->host_count = 0;
-  for (size_t i = 0; i < r->n_members; i++)
-    add_host (c, r->members[i]);
-  for (size_t i = 0; i < c->settings->control_count; i++)
-    add_host (c, c->settings->control[i].host);
-  c->members_hash = r->members_hash;
-  select_host (c, leader);
-}
-
 static int
 send_to_leader (struct cfs_control_client *c, const Cfs__Peer *msg)
 {
-  const struct cfs_control_host *h = &c->hosts[c->leader];
+  const struct cfs_control_host *h = control_hosts_selected (&c->hosts);
 
   return cfs_net_send (c->net, h->address, h->port, msg);
 }
@@ -223,7 +156,8 @@
   cfs_log (
       CFS_WARNING, PART,
       "no reply from the control group, last tried host=%s silent_ms=%" PRId64,
-      c->hosts[c->leader].host, (now - c->last_reply_at) / CFS_US_PER_MS);
+      control_hosts_selected (&c->hosts)->host,
+      (now - c->last_reply_at) / CFS_US_PER_MS);
 }
 
 static void
@@ -231,7 +165,7 @@
 {
   if (c->control_lost)
     cfs_log (CFS_NOTICE, PART, "control group replies again, leader=%s",
-             c->hosts[c->leader].host);
+             control_hosts_selected (&c->hosts)->host);
   c->control_lost = false;
   c->last_reply_at = now;
   c->retry_us = 0;
@@ -262,9 +196,7 @@
 give_up_reply (struct cfs_control_client *c, int64_t now)
 {
   log_control_lost (c, now);
-  cfs_copy (c->silent_host, sizeof c->silent_host, c->hosts[c->leader].host);
-  c->silent_until = now + SILENT_HOST_US;
-  select_next_host (c);
+  control_hosts_pass_over (&c->hosts, now);
   c->reply_timeout_us *= 2;
   if (c->reply_timeout_us > REPLY_TIMEOUT_MAX_US)
     c->reply_timeout_us = REPLY_TIMEOUT_MAX_US;
@@ -304,7 +236,7 @@
       h.n_uses = c->uses->heartbeat->n_uses;
       h.idle_us = c->uses->heartbeat->idle_us;
     }
-  h.members_hash = c->members_hash;
+  h.members_hash = c->hosts.members_hash;
   h.instances = collect_instances (c, &h.n_instances);
   out.body_case = CFS__PEER__BODY_HEARTBEAT;
   out.heartbeat = &h;
@@ -320,7 +252,7 @@
     {
       log_control_lost (c, now);
       c->reply_received = true;
-      select_next_host (c);
+      control_hosts_select_next (&c->hosts);
       retry_later (c, now);
     }
   free (h.instances);
@@ -375,12 +307,12 @@
 follow_redirect (struct cfs_control_client *c, const char *leader, int64_t now)
 {
   bool first = c->retry_us == 0;
-  bool silent = strcmp (leader, c->silent_host) == 0 && now < c->silent_until;
+  bool silent = control_hosts_is_passed_over (&c->hosts, leader, now);
 
   if (silent)
-    select_next_host (c);
+    control_hosts_select_next (&c->hosts);
   else
-    select_host (c, leader);
+    control_hosts_select (&c->hosts, leader);
   retry_later (c, now);
   if (first && !silent)
     c->next_heartbeat_at = now;
@@ -404,7 +336,7 @@
   /* The sender is not leader and knows of none. */
   if (!r->granted && r->version == 0)
     {
-      select_next_host (c);
+      control_hosts_select_next (&c->hosts);
       retry_later (c, now);
       return;
     }
@@ -413,7 +345,7 @@
   record_reply (c, now);
   if (r->directory > c->directory)
     c->directory = r->directory;
-  update_hosts (c, r);
+  control_hosts_update (&c->hosts, r);
   r->lease_until_us = lease_end (c, r);
   r->document = c->version != old_version ? c->document : (char *)"";
   c->ops->heartbeat_replied (c->ctx, r);
@@ -439,7 +371,7 @@
         continue;
       if (r->status == HTTP_UNAVAILABLE)
         {
-          select_host (c, r->body);
+          control_hosts_select (&c->hosts, r->body);
           c->requests[i].sent_at = cfs_now ();
           c->requests[i].refused = true;
           return;
@@ -484,9 +416,7 @@
   c->last_reply_at = cfs_now ();
   c->reply_received = true;
   c->reply_timeout_us = REPLY_TIMEOUT_US;
-  c->host_count = settings->control_count;
-  memcpy (c->hosts, settings->control,
-          settings->control_count * sizeof c->hosts[0]);
+  control_hosts_init (&c->hosts, settings);
   c->net = cfs_net_new (&setup, loop);
   return c;
 }
--- a/src/process/control_int.h
+++ b/src/process/control_int.h
@@ -1,6 +1,6 @@
 /**
- * DOC: Internals of a control host, shared by control.c and
- * control_fleet.c.
+ * DOC: Internals of a control host, shared by control.c, control_fleet.c and
+ * control_status.c.
  */
 #ifndef CFS_CONTROL_INT_H
 #define CFS_CONTROL_INT_H
@@ -82,6 +82,14 @@
  * log index, or 0 on failure */
 uint64_t control_propose (struct cfs_control *control, const Cfs__Command *c);
 
+/** control_audit_json() - who changed the configuration, how and when; the
+ * last changes only; freed by free() */
+char *control_audit_json (const struct cfs_control *control);
+
+/** control_status_json() - members, hosts, leases and groups; freed by free()
+ */
+char *control_status_json (const struct cfs_control *control, int64_t now);
+
 /** control_fleet_init() - starts without heartbeats and waiters */
 void control_fleet_init (struct cfs_control *control);
 
