--- a/src/process/leader_int.h
+++ b/src/process/leader_int.h
@@ -1,5 +1,6 @@
 /**
- * DOC: Internals of the control leader, shared by leader.c and leader_reply.c.
+ * DOC: Internals of the control leader, shared by leader.c, leader_assign.c
+ * and leader_reply.c.
  */
 #ifndef CFS_LEADER_INT_H
 #define CFS_LEADER_INT_H
@@ -98,6 +99,14 @@
   struct cfs_raft_membership members;
 };
 
+/** leader_propose() - appends a command to the replicated log; returns its
+ * index, or 0 on failure */
+uint64_t leader_propose (struct cfs_leader *leader, const Cfs__Command *c);
+
+/** leader_assign_free_resources() - proposes a holder for each resource that
+ * no host holds any more */
+void leader_assign_free_resources (struct cfs_leader *leader, int64_t now);
+
 /** leader_reply_conf() - adds what a host with version @have lacks of the
  * configuration */
 void leader_reply_conf (struct cfs_leader *leader, uint64_t have);
