--- a/src/process/control.c
+++ b/src/process/control.c
@@ -11,7 +11,6 @@
 #include <cjson/cJSON.h>
 #include <inttypes.h>
 #include <sodium.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
