Hosts find a leader that was silent without delay

Cause: a host that had not replied was passed over for 0.6 s whoever named it, so a control host that had been down and was then elected was found late; attempts that nobody received were delayed up to 200 ms like those that cost somebody a message; a redirect after such an attempt was followed with a delay.

Change: no host is passed over. A heartbeat counts as lost after 150, then 300 ms (600 before); attempts wait 25 to 100 ms (200); without a connection 25 ms; the first redirect in a row is followed at once, later ones with a delay, which bounds what a leader costs that names itself.

--- a/src/process/control_client.c
+++ b/src/process/control_client.c
@@ -25,11 +25,11 @@
 /* Delay before the next attempt to find the leader; doubles with each attempt
    up to the maximum. */
 #define RETRY_US (25 * CFS_US_PER_MS)
-#define RETRY_MAX_US (200 * CFS_US_PER_MS)
+#define RETRY_MAX_US (100 * CFS_US_PER_MS)
 /* Time after which a heartbeat without a reply counts as lost; doubles with
    each loss up to the maximum. */
 #define REPLY_TIMEOUT_US (150 * CFS_US_PER_MS)
-#define REPLY_TIMEOUT_MAX_US (600 * CFS_US_PER_MS)
+#define REPLY_TIMEOUT_MAX_US (300 * CFS_US_PER_MS)
 /* Interval between heartbeats while a target is unreachable. */
 #define HEARTBEAT_SUSPECT_US (100 * CFS_US_PER_MS)
 /* After this time without a reply the loss of the control group is logged. */
@@ -53,6 +53,7 @@
  * @reply_timeout_us: time after which it counts as lost
  * @retry_us: delay before the next attempt to find the leader, 0 if none
  * failed since the leader's last reply
+ * @redirected: the last heartbeat was sent where a reply pointed to
  * @hosts: known control hosts; messages are sent to the selected one
  * @directory: log index of the newest routing data received
  * @report: sent with each heartbeat, or NULL
@@ -72,6 +73,7 @@
   bool reply_received;
   int64_t reply_timeout_us;
   int64_t retry_us;
+  bool redirected;
   bool control_lost;
   int64_t last_reply_at;
   struct control_hosts hosts;
@@ -169,6 +171,7 @@
   c->control_lost = false;
   c->last_reply_at = now;
   c->retry_us = 0;
+  c->redirected = false;
   c->reply_timeout_us = REPLY_TIMEOUT_US;
 }
 
@@ -196,7 +199,8 @@
 give_up_reply (struct cfs_control_client *c, int64_t now)
 {
   log_control_lost (c, now);
-  control_hosts_pass_over (&c->hosts, now);
+  control_hosts_select_next (&c->hosts);
+  c->redirected = false;
   c->reply_timeout_us *= 2;
   if (c->reply_timeout_us > REPLY_TIMEOUT_MAX_US)
     c->reply_timeout_us = REPLY_TIMEOUT_MAX_US;
@@ -253,7 +257,7 @@
       log_control_lost (c, now);
       c->reply_received = true;
       control_hosts_select_next (&c->hosts);
-      retry_later (c, now);
+      c->next_heartbeat_at = now + RETRY_US;
     }
   free (h.instances);
 }
@@ -301,21 +305,17 @@
   return r->granted ? c->heartbeat_sent_at + LEASE_US : 0;
 }
 
-/* Only the first redirect is followed without a delay: the hosts may name each
-   other, or a leader itself while it is not confirmed. */
+/* Only the first redirect in a row is followed without a delay: the hosts may
+   name each other, or a leader itself while it is not confirmed. */
 static void
 follow_redirect (struct cfs_control_client *c, const char *leader, int64_t now)
 {
-  bool first = c->retry_us == 0;
-  bool silent = control_hosts_is_passed_over (&c->hosts, leader, now);
-
-  if (silent)
-    control_hosts_select_next (&c->hosts);
+  control_hosts_select (&c->hosts, leader);
+  if (c->redirected)
+    retry_later (c, now);
   else
-    control_hosts_select (&c->hosts, leader);
-  retry_later (c, now);
-  if (first && !silent)
     c->next_heartbeat_at = now;
+  c->redirected = true;
 }
 
 static void
@@ -338,6 +338,7 @@
     {
       control_hosts_select_next (&c->hosts);
       retry_later (c, now);
+      c->redirected = false;
       return;
     }
   if (!apply_versions (c, r))
--- a/src/process/control_hosts.c
+++ b/src/process/control_hosts.c
@@ -6,9 +6,6 @@
 
 #include <string.h>
 
-/* Time for which a host that did not reply is passed over. */
-#define SILENT_HOST_US (600 * CFS_US_PER_MS)
-
 void
 control_hosts_init (struct control_hosts *l,
                     const struct cfs_settings *settings)
@@ -80,19 +77,3 @@
   l->members_hash = r->members_hash;
   control_hosts_select (l, selected);
 }
-
-void
-control_hosts_pass_over (struct control_hosts *l, int64_t now)
-{
-  cfs_copy (l->silent_host, sizeof l->silent_host,
-            control_hosts_selected (l)->host);
-  l->silent_until = now + SILENT_HOST_US;
-  control_hosts_select_next (l);
-}
-
-bool
-control_hosts_is_passed_over (const struct control_hosts *l, const char *name,
-                              int64_t now)
-{
-  return now < l->silent_until && strcmp (name, l->silent_host) == 0;
-}
--- a/src/process/control_hosts.h
+++ b/src/process/control_hosts.h
@@ -14,7 +14,6 @@
  * struct control_hosts - known control hosts
  * @selected: index of the host to which messages are sent
  * @members_hash: hash of the members that the hosts were taken from
- * @silent_host: last host that did not reply, passed over until @silent_until
  */
 struct control_hosts
 {
@@ -23,8 +22,6 @@
   size_t count;
   size_t selected;
   uint64_t members_hash;
-  char silent_host[CFS_NAME_MAX];
-  int64_t silent_until;
 };
 
 /** control_hosts_init() - starts with the control hosts of the settings, which
@@ -47,13 +44,4 @@
 void control_hosts_update (struct control_hosts *hosts,
                            const Cfs__HeartbeatReply *reply);
 
-/** control_hosts_pass_over() - the selected host did not reply; goes on to the
- * next one */
-void control_hosts_pass_over (struct control_hosts *hosts, int64_t now);
-
-/** control_hosts_is_passed_over() - whether a host failed to reply a short
- * time ago, so that a redirect to it is not worth following */
-bool control_hosts_is_passed_over (const struct control_hosts *hosts,
-                                   const char *name, int64_t now);
-
 #endif
--- a/tests/unit/control_client.c
+++ b/tests/unit/control_client.c
@@ -1,15 +1,17 @@
 /*
  * Heartbeats of a host to two control hosts that this test plays, over
- * loopback and in real time: a leader that replies late, and one that names
- * itself while it is not confirmed.
+ * loopback and in real time: a leader that replies late, one that names itself
+ * while it is not confirmed, and one that is back after a silence.
  */
 #include "../../src/process/control_client.h"
+#include "../../src/process/leader.h"
 #include "../../src/process/net.h"
 
 #include <apr_general.h>
 #include <apr_pools.h>
 #include <setjmp.h>
 #include <stdarg.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -23,6 +25,10 @@
 #define TICK_US CFS_US_PER_MS
 /* Interval of the demand reports, each of which makes a heartbeat due. */
 #define DEMAND_INTERVAL_US (20 * CFS_US_PER_MS)
+/* Time in which replies that were sent have arrived. */
+#define IN_FLIGHT_US (50 * CFS_US_PER_MS)
+/* Time for which a control host does not reply. */
+#define SILENCE_US (700 * CFS_US_PER_MS)
 #define SLOW_REPLY_US (100 * CFS_US_PER_MS)
 /* A redirect is followed at most this often, on average. */
 #define REDIRECTS_PER_S_MAX 20
@@ -39,6 +45,8 @@
   uint64_t seq;
   int64_t received_at;
   bool replied;
+  bool silent;
+  const char *names;
   unsigned heartbeats;
   unsigned unreplied;
 };
@@ -52,8 +60,8 @@
   struct cfs_control_client *client;
   struct played_host hosts[CONTROL_HOSTS];
   int64_t reply_delay_us;
-  const char *names_leader;
   unsigned accepted;
+  int64_t accepted_at;
   uint32_t number;
 };
 
@@ -62,7 +70,7 @@
 {
   struct played_host *h = ctx;
 
-  if (msg->body_case != CFS__PEER__BODY_HEARTBEAT)
+  if (msg->body_case != CFS__PEER__BODY_HEARTBEAT || h->silent)
     return;
   h->heartbeats++;
   h->unreplied += !h->replied;
@@ -77,13 +85,12 @@
 {
   Cfs__Peer out = CFS__PEER__INIT;
   Cfs__HeartbeatReply reply = CFS__HEARTBEAT_REPLY__INIT;
-  const struct world *w = h->world;
 
-  if (h->replied || cfs_now () - h->received_at < w->reply_delay_us)
+  if (h->replied || cfs_now () - h->received_at < h->world->reply_delay_us)
     return;
   reply.seq = h->seq;
-  reply.granted = !*w->names_leader;
-  reply.leader = (char *)w->names_leader;
+  reply.granted = !*h->names;
+  reply.leader = (char *)h->names;
   out.body_case = CFS__PEER__BODY_REPLY;
   out.reply = &reply;
   cfs_net_reply (h->net, &h->from, &out);
@@ -93,8 +100,11 @@
 static void
 on_reply (void *ctx, Cfs__HeartbeatReply *reply)
 {
+  struct world *w = ctx;
+
   (void)reply;
-  ((struct world *)ctx)->accepted++;
+  w->accepted++;
+  w->accepted_at = cfs_now ();
 }
 
 static void
@@ -128,6 +138,7 @@
 
   h->world = w;
   h->replied = true;
+  h->names = "";
   cfs_copy (entry->host, sizeof entry->host,
             i == LEADER ? "127.0.0.95" : "127.0.0.96");
   cfs_copy (entry->address, sizeof entry->address, entry->host);
@@ -145,7 +156,6 @@
 
   w->number = count++;
   w->reply_delay_us = reply_delay_us;
-  w->names_leader = "";
   w->zmq = zmq_ctx_new ();
   apr_pool_create (&w->pool, NULL);
   w->loop = cfs_loop_new (w->pool);
@@ -215,6 +225,14 @@
     }
 }
 
+static void
+drop_counts (struct world *w)
+{
+  w->accepted = 0;
+  for (unsigned i = 0; i < CONTROL_HOSTS; i++)
+    w->hosts[i].heartbeats = w->hosts[i].unreplied = 0;
+}
+
 /* Lets the client connect and find the leader, then drops the counts. */
 static void
 settle (struct world *w)
@@ -224,9 +242,7 @@
   w->reply_delay_us = 0;
   run_world (w, CFS_US_PER_S / 2);
   w->reply_delay_us = delay;
-  w->accepted = 0;
-  for (unsigned i = 0; i < CONTROL_HOSTS; i++)
-    w->hosts[i].heartbeats = w->hosts[i].unreplied = 0;
+  drop_counts (w);
 }
 
 static void
@@ -256,25 +272,59 @@
 
   (void)state;
   settle (w);
-  w->names_leader = w->settings.control[LEADER].host;
+  for (unsigned i = 0; i < CONTROL_HOSTS; i++)
+    w->hosts[i].names = w->settings.control[LEADER].host;
+  run_world (w, IN_FLIGHT_US);
+  drop_counts (w);
   run_world (w, RUN_US);
   for (unsigned i = 0; i < CONTROL_HOSTS; i++)
     heartbeats += w->hosts[i].heartbeats;
   assert_true (heartbeats > 1);
   assert_true (heartbeats <= REDIRECTS_PER_S_MAX * RUN_US / CFS_US_PER_S);
   assert_int_equal (w->accepted, 0);
-  w->names_leader = "";
+  w->hosts[LEADER].names = "";
   run_world (w, CFS_US_PER_S / 2);
   assert_true (w->accepted > 0);
   free_world (w);
 }
 
+/* A control host stops to reply while the other one names it as leader, and
+   leads when it is back. */
+static void
+a_leader_that_was_silent_is_found_within_a_heartbeat_interval (void **state)
+{
+  struct world *w = new_world (0);
+  struct played_host *first = &w->hosts[LEADER];
+  struct played_host *second = &w->hosts[CONTROL_HOSTS - 1];
+  int64_t leads_since;
+
+  (void)state;
+  second->names = w->settings.control[LEADER].host;
+  settle (w);
+  first->silent = true;
+  run_world (w, SILENCE_US);
+  leads_since = cfs_now ();
+  first->silent = false;
+  w->accepted = 0;
+  run_world (w, CFS_US_PER_S / 50);
+  while (!w->accepted && cfs_now () - leads_since < 4 * HEARTBEAT_US)
+    run_world (w, CFS_US_PER_S / 50);
+  if (getenv ("TRACE"))
+    printf ("found after %lld ms\n",
+            (long long)((w->accepted_at - leads_since) / CFS_US_PER_MS));
+  assert_true (w->accepted > 0);
+  assert_true (w->accepted_at - leads_since <= HEARTBEAT_US);
+  free_world (w);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_late_reply_is_awaited),
-    cmocka_unit_test (a_leader_that_names_itself_is_not_asked_without_pause)
+    cmocka_unit_test (a_leader_that_names_itself_is_not_asked_without_pause),
+    cmocka_unit_test (
+        a_leader_that_was_silent_is_found_within_a_heartbeat_interval)
   };
   int rc;
 
