Soak: a run claims its subnet, so that parallel runs do not meet

Cause: the subnet of a run was its process id modulo 200; of runs that start over five minutes two can have the same one at the same time.

Change: a run binds a port of the subnet and goes on to the next one if that fails.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -10,12 +10,14 @@
  */
 #include "soak.h"
 
+#include <netinet/in.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
@@ -26,6 +28,7 @@
 #define FINAL_WINDOW_MS 4000
 #define FAULT_GAP_MAX_MS 1200
 #define SUBNETS 200
+#define SUBNET_FIRST 10
 
 static uint64_t random_state;
 static unsigned violations;
@@ -159,6 +162,29 @@
                       FINAL_WINDOW_MS);
 }
 
+/* Returns a subnet of 127.0.0.0/8 that no other run uses.  A bound socket
+   claims it until this process ends. */
+static unsigned
+claim_subnet (void)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (PORT_CLAIM) };
+
+  for (unsigned i = 0; i < SUBNETS; i++)
+    {
+      unsigned subnet = SUBNET_FIRST + ((unsigned)getpid () + i) % SUBNETS;
+      int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+      address.sin_addr.s_addr = htonl ((127u << 24) | (subnet << 16) | 1);
+      if (fd >= 0
+          && bind (fd, (struct sockaddr *)&address, sizeof address) == 0)
+        return subnet;
+      close (fd);
+    }
+  fputs ("soak: no subnet is free\n", stderr);
+  exit (2);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -187,7 +213,7 @@
     return 2;
   started_at = now_ms ();
   random_seed (run_seed);
-  fleet_start (folder, 10 + (unsigned)((uint64_t)getpid () % SUBNETS));
+  fleet_start (folder, claim_subnet ());
   proxy_start ();
   operator_start ();
   callers_start ();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -37,6 +37,8 @@
 #define PORT_GROUP 25010
 #define PORT_PROMOTION 25020
 #define PORT_PEER 26000
+/* Bound by the run that uses a subnet. */
+#define PORT_CLAIM 26999
 
 /** now_ms() - CLOCK_BOOTTIME in milliseconds: also advances while the machine
  * is suspended */
