Test: a gate moves only after its lease ended by a slow clock

tests/unit/leader.c now steps the leader in 5 ms and requires that a gate moves no earlier than LEASE_US and 5% after the last renewal, the bound that docs/PROMISES.md states.

--- a/tests/unit/leader.c
+++ b/tests/unit/leader.c
@@ -14,6 +14,9 @@
 #include <cmocka.h>
 
 #define TICK_US (100 * CFS_US_PER_MS)
+#define FINE_TICK_US (5 * CFS_US_PER_MS)
+/* Clocks of hosts differ by up to this fraction in their speed. */
+#define CLOCK_DRIFT_PERCENT 5
 
 /* A leader whose log holds one packed command until apply() is called. */
 struct fixture
@@ -48,12 +51,18 @@
 }
 
 static void
-tick (struct fixture *f)
+tick_after (struct fixture *f, int64_t us)
 {
-  f->now += TICK_US;
+  f->now += us;
   cfs_leader_tick (f->leader, true, f->applied, f->now);
 }
 
+static void
+tick (struct fixture *f)
+{
+  tick_after (f, TICK_US);
+}
+
 static const Cfs__HeartbeatReply *
 send_heartbeat (struct fixture *f, const char *host, bool draining,
                 uint64_t released)
@@ -167,13 +176,38 @@
   free_fixture (f);
 }
 
+/* The holder counts its lease by a clock that is slower than the leader's. */
+static void
+a_gate_moves_only_after_the_lease_ended_by_a_slow_clock (void **state)
+{
+  struct fixture *f = new_fixture ();
+  int64_t renewed_at;
+
+  (void)state;
+  send_heartbeat (f, "h2", false, 0);
+  tick (f);
+  send_heartbeat (f, "h1", false, 0);
+  renewed_at = f->now;
+  while (f->index == f->applied)
+    {
+      send_heartbeat (f, "h2", false, 0);
+      tick_after (f, FINE_TICK_US);
+      assert_in_range (f->now - renewed_at, 0, 2 * LEASE_US);
+    }
+  assert_true (f->now - renewed_at
+               >= LEASE_US + LEASE_US * CLOCK_DRIFT_PERCENT / 100);
+  free_fixture (f);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (no_lease_renewal_while_a_move_is_uncommitted),
-          cmocka_unit_test (a_released_gate_is_reassigned_immediately),
-          cmocka_unit_test (a_release_of_another_host_or_epoch_is_ignored) };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (no_lease_renewal_while_a_move_is_uncommitted),
+    cmocka_unit_test (a_released_gate_is_reassigned_immediately),
+    cmocka_unit_test (a_release_of_another_host_or_epoch_is_ignored),
+    cmocka_unit_test (a_gate_moves_only_after_the_lease_ended_by_a_slow_clock)
+  };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
