Hosts use no primary while an earlier promotion request is outstanding

Cause: promotion requests for A and then B get no reply. The one for A is carried out late. A reports itself as primary, the report is newer than any other event, so hosts used A although the failover was open. The request for B is carried out while A's commits are on another replica only, and rolls them back.

Change: the begin of a failover that is already open marks it as retried in the replicated state. Until it ends, cfs_targets_primary() names no primary; it ends only once a request with the highest fencing token was accepted, or when none was sent. The leader, which must probe whoever leads, keeps the old rule under the name cfs_targets_presumed_primary().

Ruled out: using no instance that became primary since the begin of any open failover.

Test: failover_random lets hosts write where the replicated state says, and carries out the request for B 0 to 1.5 s after that for A, in steps of 50 ms with 20 seeds.

--- a/src/process/failover.c
+++ b/src/process/failover.c
@@ -89,8 +89,8 @@
 current_primary (const struct cfs_failover_manager *m,
                  const struct failover_state *f)
 {
-  return cfs_targets_primary (&m->state->targets, &m->state->failovers,
-                              f->service);
+  return cfs_targets_presumed_primary (&m->state->targets,
+                                       &m->state->failovers, f->service);
 }
 
 /* Returns why the primary must be replaced, or NULL. */
--- a/src/process/targets.c
+++ b/src/process/targets.c
@@ -57,6 +57,7 @@
   cfs__turn__init (out);
   out->service = (char *)f->service;
   out->open = f->open;
+  out->retried = f->retried;
   out->target = (char *)f->target;
   out->fence = f->fence;
   out->changed = f->changed;
@@ -66,6 +67,7 @@
 cfs_failover_from_message (struct cfs_failover *f, const Cfs__Turn *in)
 {
   f->open = in->open;
+  f->retried = in->retried;
   cfs_copy (f->target, sizeof f->target, in->target);
   f->fence = in->fence;
   f->changed = in->changed;
@@ -121,6 +123,7 @@
   f = cfs_table_add (failovers, in->service);
   if (!in->open && (!f->open || f->fence != in->fence))
     return false;
+  f->retried = f->open && in->open;
   f->open = in->open;
   if (in->open)
     f->fence = index;
@@ -131,8 +134,9 @@
 }
 
 const struct cfs_target *
-cfs_targets_primary (const struct cfs_table *targets,
-                     const struct cfs_table *failovers, const char *service)
+cfs_targets_presumed_primary (const struct cfs_table *targets,
+                              const struct cfs_table *failovers,
+                              const char *service)
 {
   const struct cfs_failover *failover = cfs_table_find (failovers, service);
   const struct cfs_target *best = NULL;
@@ -156,3 +160,14 @@
     }
   return best;
 }
+
+const struct cfs_target *
+cfs_targets_primary (const struct cfs_table *targets,
+                     const struct cfs_table *failovers, const char *service)
+{
+  const struct cfs_failover *failover = cfs_table_find (failovers, service);
+
+  if (failover && failover->open && failover->retried)
+    return NULL;
+  return cfs_targets_presumed_primary (targets, failovers, service);
+}
--- a/src/process/targets.h
+++ b/src/process/targets.h
@@ -46,6 +46,8 @@
 /**
  * struct cfs_failover - the last failover of a service
  * @open: the failover has begun and not ended
+ * @retried: it was begun again while open, so a promotion request of an
+ * earlier attempt may still be carried out
  * @target: primary chosen by the last completed failover, or ""
  * @fence: fencing token: log index at which the failover began
  * @changed: log index of the last change
@@ -54,6 +56,7 @@
 {
   char service[CFS_NAME_MAX];
   bool open;
+  bool retried;
   char target[CFS_NAME_MAX];
   uint64_t fence;
   uint64_t changed;
@@ -105,15 +108,30 @@
                           uint64_t index);
 
 /**
- * cfs_targets_primary() - returns the primary of a service, as far as known
+ * cfs_targets_presumed_primary() - returns the primary of a service, as far as
+ * known
  * @targets: table of struct cfs_target
  * @failovers: table of struct cfs_failover
  *
  * The latest event counts: the end of a failover, or an instance that begins
  * to report itself as primary.
+ *
  * Return: entry in @targets, or NULL.
  */
 const struct cfs_target *
+cfs_targets_presumed_primary (const struct cfs_table *targets,
+                              const struct cfs_table *failovers,
+                              const char *service);
+
+/**
+ * cfs_targets_primary() - as cfs_targets_presumed_primary(), but NULL while
+ * hosts must not use it
+ *
+ * This is the case while a failover is open that was retried: an earlier
+ * promotion request may still be carried out and roll back the commits of
+ * whichever instance is primary now.
+ */
+const struct cfs_target *
 cfs_targets_primary (const struct cfs_table *targets,
                      const struct cfs_table *failovers, const char *service);
 
--- a/src/process/wire.pb-c.c
+++ b/src/process/wire.pb-c.c
@@ -3122,7 +3122,7 @@
   (ProtobufCMessageInit) cfs__target__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfs__turn__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cfs__turn__field_descriptors[6] =
 {
   {
     "service",
@@ -3184,18 +3184,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "retried",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Turn, retried),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfs__turn__field_indices_by_name[] = {
   4,   /* field[4] = changed */
   3,   /* field[3] = fence */
   1,   /* field[1] = open */
+  5,   /* field[5] = retried */
   0,   /* field[0] = service */
   2,   /* field[2] = target */
 };
 static const ProtobufCIntRange cfs__turn__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cfs__turn__descriptor =
 {
@@ -3205,7 +3218,7 @@
   "Cfs__Turn",
   "cfs",
   sizeof(Cfs__Turn),
-  5,
+  6,
   cfs__turn__field_descriptors,
   cfs__turn__field_indices_by_name,
   1,  cfs__turn__number_ranges,
--- a/src/process/wire.pb-c.h
+++ b/src/process/wire.pb-c.h
@@ -334,10 +334,11 @@
   char *target;
   uint64_t fence;
   uint64_t changed;
+  protobuf_c_boolean retried;
 };
 #define CFS__TURN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfs__turn__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/tests/unit/failover_random.c
+++ b/tests/unit/failover_random.c
@@ -19,6 +19,10 @@
    with a complete control group. */
 #define FAILOVER_MAX_US (4 * CFS_US_PER_S)
 
+/* Times between the execution of two late promotion requests. */
+#define LATE_DELAY_MAX_US (1500 * CFS_US_PER_MS)
+#define LATE_DELAY_STEP_US (50 * CFS_US_PER_MS)
+
 static void
 acknowledged_commits_survive_random_failovers (void **state)
 {
@@ -67,13 +71,59 @@
   (void)state;
   wf_start (6);
   wf_run (5 * CFS_US_PER_S);
-  wf_suspect (0);
+  wf_suspect (0, true);
   wf_run (FAILOVER_MAX_US);
   assert_in_range (wf_primary (), 1, 2);
   assert_null (wf_violation ());
   wf_end ();
 }
 
+/* Promotion requests for A and for B get no result.  The one for A is carried
+   out, then, @delay_us later, the one for B. */
+static void
+carry_out_late_promotions (uint64_t seed, int64_t delay_us)
+{
+  uint64_t before;
+  int a;
+  int b;
+
+  wf_start (seed);
+  wf_run (5 * CFS_US_PER_S);
+  wf_hold_promotions (true);
+  wf_kill (0);
+  wf_run (4 * CFS_US_PER_S);
+  a = wf_held_promotion ();
+  assert_in_range (a, 1, 2);
+  wf_cut_from_leader ((unsigned)a, true);
+  wf_revive (0);
+  wf_run (4 * CFS_US_PER_S);
+  b = wf_held_promotion ();
+  assert_int_not_equal (a, b);
+  wf_carry_out ((unsigned)a);
+  wf_run (delay_us);
+  wf_carry_out ((unsigned)b);
+  wf_hold_promotions (false);
+  wf_run (2 * CFS_US_PER_S);
+  assert_null (wf_violation ());
+  wf_cut_from_leader ((unsigned)a, false);
+  wf_run (8 * CFS_US_PER_S);
+  before = wf_acknowledged ();
+  wf_run (2 * CFS_US_PER_S);
+  assert_true (wf_acknowledged () > before);
+  assert_null (wf_violation ());
+  wf_end ();
+}
+
+static void
+no_commit_is_lost_when_promotions_are_carried_out_late (void **state)
+{
+  (void)state;
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    for (int64_t delay = 0; delay <= LATE_DELAY_MAX_US;
+         delay += LATE_DELAY_STEP_US)
+      carry_out_late_promotions (seed, delay);
+}
+
 static void
 an_older_instance_at_the_same_address_is_removed (void **state)
 {
@@ -101,12 +151,14 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (an_older_instance_at_the_same_address_is_removed),
-          cmocka_unit_test (a_failed_primary_is_replaced_in_time),
-          cmocka_unit_test (a_primary_that_hosts_suspect_is_replaced),
-          cmocka_unit_test (no_promotion_while_a_replica_is_unreachable),
-          cmocka_unit_test (acknowledged_commits_survive_random_failovers) };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (an_older_instance_at_the_same_address_is_removed),
+    cmocka_unit_test (a_failed_primary_is_replaced_in_time),
+    cmocka_unit_test (a_primary_that_hosts_suspect_is_replaced),
+    cmocka_unit_test (no_promotion_while_a_replica_is_unreachable),
+    cmocka_unit_test (no_commit_is_lost_when_promotions_are_carried_out_late),
+    cmocka_unit_test (acknowledged_commits_survive_random_failovers)
+  };
 
   cfs_log_open ("test", getenv ("TRACE") ? CFS_INFO : CFS_ERR);
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/world/failover.c
+++ b/tests/world/failover.c
@@ -1,9 +1,11 @@
 /*
  * A statement to an instance takes a random time to run.  A promotion request
  * either gets its result within 80 ms and takes effect 300 ms later, or gets
- * no result and is carried out 2 to 10 s later.  In both cases it is rejected
- * if the instance is stopped, or if a request with a higher fencing token was
- * carried out before.
+ * no result and is carried out 2 to 10 s later, or when the test says so.  In
+ * all cases it is rejected if the instance is stopped, or if a request with a
+ * higher fencing token was carried out before.  Instances report a change of
+ * their role to the replicated state.  Hosts write at the instance that this
+ * state names as the primary.
  */
 #include "failover.h"
 
@@ -15,16 +17,21 @@
 #define SERVICE "db"
 #define STEP_US (10 * CFS_US_PER_MS)
 #define PROMOTE_US (300 * CFS_US_PER_MS)
+/* Time after which a promotion request without a result is given up. */
+#define PROMOTION_TIMEOUT_US (700 * CFS_US_PER_MS)
 #define FAULT_PHASE_US (25 * CFS_US_PER_S)
 #define RECOVERY_US (14 * CFS_US_PER_S)
 #define PROMOTIONS_MAX 64
 #define PROPOSALS_MAX 64
 
 /*
+ * @reported_primary: its last report said that it is primary
  * @cut: unreachable for the control leader and for the hosts
+ * @cut_from_leader: unreachable for the control leader only
  * @suspect: unreachable for the hosts only
  * @replication_cut: neither sends nor receives the log
  * @paused: replication was paused by the failover
+ * @delay_us: additional time that a statement takes
  * @boot: number of restarts; a restart breaks all connections
  * @received: position up to which it has received the log
  */
@@ -33,10 +40,13 @@
   char name[16];
   bool alive;
   bool primary;
+  bool reported_primary;
   bool cut;
+  bool cut_from_leader;
   bool suspect;
   bool replication_cut;
   bool paused;
+  int64_t delay_us;
   unsigned boot;
   uint64_t term;
   uint64_t received;
@@ -69,6 +79,7 @@
  * A promotion request in transit.
  * @fence: fencing token
  * @at: time at which it is carried out
+ * @unknown_at: time at which the manager is told that the result is unknown
  * @result_reported: the manager was told that the result is unknown
  */
 struct promotion
@@ -77,17 +88,23 @@
   unsigned target;
   uint64_t fence;
   int64_t at;
+  int64_t unknown_at;
   bool result_reported;
 };
 
 /*
- * A record appended to the replicated log and not committed yet.
+ * A record appended to the replicated log and not committed yet: the begin or
+ * end of a failover, or the report of an instance.
+ * @reporter: the instance that reports its role, or NULL
+ * @primary: the role that it reports
  * @index: log index
  * @at: earliest time of the commit
  */
 struct proposal
 {
   bool pending;
+  const struct instance *reporter;
+  bool primary;
   Cfs__Turn turn;
   char service[8];
   char target[8];
@@ -98,6 +115,8 @@
 /*
  * The whole simulation.
  * @faults: random faults occur
+ * @hold_promotions: promotion requests get no result and wait for
+ * wf_carry_out()
  * @index: last log index of the replicated log
  * @committed: last committed log index
  * @acked_position: highest acknowledged position; a commit is acknowledged
@@ -112,6 +131,7 @@
   int64_t now;
   uint64_t seed;
   bool faults;
+  bool hold_promotions;
   struct cfs_state state;
   struct cfs_target_adapter adapter;
   struct cfs_failover_manager *failover;
@@ -208,7 +228,8 @@
     world->violation = "more than one statement sent at a time";
   conn->statement = *s;
   conn->statement_pending = true;
-  conn->due = world->now + (int64_t)random_below (60) * CFS_US_PER_MS;
+  conn->due = world->now + conn->instance->delay_us
+              + (int64_t)random_below (60) * CFS_US_PER_MS;
 }
 
 /* A statement sent before the close still runs if the instance is reachable.
@@ -219,6 +240,7 @@
   struct fake_conn *conn = (struct fake_conn *)base;
 
   if (conn->statement_pending && conn->instance->alive && !conn->instance->cut
+      && !conn->instance->cut_from_leader
       && conn->boot == conn->instance->boot)
     run_statement (conn);
   conn->dead = true;
@@ -249,7 +271,8 @@
 static void
 step_conn (struct fake_conn *conn)
 {
-  if (conn->dead || conn->instance->cut || world->now < conn->due)
+  if (conn->dead || conn->instance->cut || conn->instance->cut_from_leader
+      || world->now < conn->due)
     return;
   if (!conn->instance->alive || conn->boot != conn->instance->boot)
     {
@@ -292,27 +315,75 @@
     }
 }
 
-static uint64_t
-propose (void *ctx, const Cfs__Turn *turn)
+static struct proposal *
+append_record (void)
 {
-  (void)ctx;
   for (int i = 0; i < PROPOSALS_MAX; i++)
     {
       struct proposal *p = &world->proposals[i];
 
       if (p->pending)
         continue;
+      memset (p, 0, sizeof *p);
       p->pending = true;
-      p->turn = *turn;
-      cfs_copy (p->service, sizeof p->service, turn->service);
-      cfs_copy (p->target, sizeof p->target, turn->target);
-      p->turn.service = p->service;
-      p->turn.target = p->target;
       p->index = ++world->index;
       p->at = world->now + (int64_t)random_below (80) * CFS_US_PER_MS;
-      return p->index;
+      return p;
+    }
+  return NULL;
+}
+
+static uint64_t
+propose (void *ctx, const Cfs__Turn *turn)
+{
+  struct proposal *p = append_record ();
+
+  (void)ctx;
+  if (!p)
+    return 0;
+  p->turn = *turn;
+  cfs_copy (p->service, sizeof p->service, turn->service);
+  cfs_copy (p->target, sizeof p->target, turn->target);
+  p->turn.service = p->service;
+  p->turn.target = p->target;
+  return p->index;
+}
+
+/* Each running instance reports when its role has changed. */
+static void
+report_roles (void)
+{
+  for (int i = 0; i < INSTANCES; i++)
+    {
+      struct instance *in = &world->instances[i];
+      struct proposal *p;
+
+      if (!in->alive || in->reported_primary == in->primary)
+        continue;
+      p = append_record ();
+      if (!p)
+        return;
+      p->reporter = in;
+      p->primary = in->primary;
+      in->reported_primary = in->primary;
     }
-  return 0;
+}
+
+static void
+apply_report (const struct proposal *p)
+{
+  const struct cfs_target *known
+      = cfs_table_find (&world->state.targets, p->reporter->name);
+  struct cfs_target next;
+  Cfs__Target t;
+
+  if (!known)
+    return;
+  next = *known;
+  cfs_target_to_message (&next, &t);
+  t.primary = p->primary;
+  t.sequence++;
+  cfs_targets_apply (&world->state.targets, &t, p->index);
 }
 
 static void
@@ -333,7 +404,13 @@
       p->target = (unsigned)(target[1] - '1');
       p->fence = fence;
       p->at = world->now + (int64_t)random_below (80) * CFS_US_PER_MS;
-      if (world->faults && random_below (3) == 0)
+      p->unknown_at = CFS_NEVER;
+      if (world->hold_promotions)
+        {
+          p->at = CFS_NEVER;
+          p->unknown_at = world->now + PROMOTION_TIMEOUT_US;
+        }
+      else if (world->faults && random_below (3) == 0)
         {
           p->result_reported = true;
           p->at = world->now + 2 * CFS_US_PER_S
@@ -390,6 +467,12 @@
 {
   enum cfs_promotion_result result = PROMOTION_ACCEPTED;
 
+  if (p->pending && !p->result_reported && world->now >= p->unknown_at)
+    {
+      p->result_reported = true;
+      cfs_failover_promotion_result (world->failover, SERVICE, p->fence,
+                                     PROMOTION_UNKNOWN);
+    }
   if (!p->pending || world->now < p->at)
     return;
   p->pending = false;
@@ -415,11 +498,24 @@
     return;
   p->pending = false;
   world->committed = p->index;
-  cfs_failovers_apply (&world->state.failovers, &p->turn, p->index);
+  if (p->reporter)
+    apply_report (p);
+  else
+    cfs_failovers_apply (&world->state.failovers, &p->turn, p->index);
+}
+
+/* Whether hosts write at an instance. */
+static bool
+hosts_use (const struct instance *in)
+{
+  const struct cfs_target *t = cfs_targets_primary (
+      &world->state.targets, &world->state.failovers, SERVICE);
+
+  return t && !in->cut && strcmp (t->id, in->name) == 0;
 }
 
-/* The primary writes one entry, and each replica may receive the log so far;
-   a commit is acknowledged once one replica has it. */
+/* The primary writes one entry if hosts use it, and each replica may receive
+   the log so far; a commit is acknowledged once one replica has it. */
 static void
 replicate (void)
 {
@@ -427,7 +523,7 @@
 
   if (p < 0 || !world->instances[p].alive)
     return;
-  world->instances[p].received++;
+  world->instances[p].received += hosts_use (&world->instances[p]);
   for (int i = 0; i < INSTANCES; i++)
     {
       struct instance *in = &world->instances[i];
@@ -528,6 +624,7 @@
       become_primary (world->promoting);
       world->promoting = -1;
     }
+  report_roles ();
   replicate ();
   for (struct fake_conn *conn = world->conns; conn; conn = conn->next)
     step_conn (conn);
@@ -549,6 +646,7 @@
   snprintf (address, sizeof address, "10.0.0.%d:1", i + 1);
   in->alive = true;
   in->primary = i == 0;
+  in->reported_primary = in->primary;
   in->term = 1;
   t.id = in->name;
   t.service = (char *)SERVICE;
@@ -643,9 +741,67 @@
 }
 
 void
-wf_suspect (unsigned i)
+wf_revive (unsigned i)
+{
+  world->instances[i].alive = true;
+  world->instances[i].paused = false;
+  world->instances[i].boot++;
+}
+
+void
+wf_cut_from_leader (unsigned i, bool cut)
+{
+  world->instances[i].cut_from_leader = cut;
+}
+
+void
+wf_hold_promotions (bool hold)
+{
+  world->hold_promotions = hold;
+}
+
+int
+wf_held_promotion (void)
+{
+  const struct promotion *newest = NULL;
+
+  for (int i = 0; i < PROMOTIONS_MAX; i++)
+    if (world->promotions[i].pending
+        && (!newest || world->promotions[i].fence > newest->fence))
+      newest = &world->promotions[i];
+  return newest ? (int)newest->target : -1;
+}
+
+void
+wf_carry_out (unsigned target)
+{
+  for (int i = 0; i < PROMOTIONS_MAX; i++)
+    if (world->promotions[i].pending && world->promotions[i].target == target)
+      world->promotions[i].at = world->now;
+}
+
+uint64_t
+wf_acknowledged (void)
+{
+  return world->acked_position;
+}
+
+void
+wf_suspect (unsigned i, bool suspect)
+{
+  world->instances[i].suspect = suspect;
+}
+
+void
+wf_slow_down (unsigned i, int64_t us)
+{
+  world->instances[i].delay_us = us;
+}
+
+bool
+wf_paused (unsigned i)
 {
-  world->instances[i].suspect = true;
+  return world->instances[i].paused;
 }
 
 int
--- a/tests/world/failover.h
+++ b/tests/world/failover.h
@@ -33,13 +33,42 @@
 /** wf_kill() - stops an instance */
 void wf_kill (unsigned instance);
 
+/** wf_revive() - starts a stopped instance again, with its log and role */
+void wf_revive (unsigned instance);
+
 /** wf_cut() - cuts an instance off from the control leader and the hosts, or
  * reconnects it */
 void wf_cut (unsigned instance, bool cut);
 
+/** wf_cut_from_leader() - cuts an instance off from the control leader, but
+ * not from the hosts, or reconnects it */
+void wf_cut_from_leader (unsigned instance, bool cut);
+
+/** wf_hold_promotions() - whether promotion requests get no result and are
+ * not carried out before wf_carry_out() */
+void wf_hold_promotions (bool hold);
+
+/** wf_held_promotion() - returns the instance that the newest request, not
+ * carried out yet, is for, or -1 */
+int wf_held_promotion (void);
+
+/** wf_carry_out() - carries out the held requests for an instance, in order */
+void wf_carry_out (unsigned instance);
+
+/** wf_acknowledged() - returns the highest acknowledged position */
+uint64_t wf_acknowledged (void);
+
 /** wf_suspect() - cuts an instance off from the hosts, but not from the
- * control leader */
-void wf_suspect (unsigned instance);
+ * control leader, or reconnects it */
+void wf_suspect (unsigned instance, bool suspect);
+
+/** wf_slow_down() - lets the statements of the control leader to an instance
+ * take this much longer */
+void wf_slow_down (unsigned instance, int64_t us);
+
+/** wf_paused() - returns whether an instance does not receive the log because
+ * of a failover */
+bool wf_paused (unsigned instance);
 
 /** wf_primary() - returns the index of the primary, or -1 */
 int wf_primary (void);
