A replica that pauses late is resumed after a cancelled failover

Callers saw: reads at a replica found it behind until the next failover, and writes waited if the other replica failed.

Cause: the end of a failover resumed the replicas known to be paused at that moment. One whose reply to PAUSE came while the end was being committed stayed paused, and nobody asked it again.

Change: the resume is repeated until no query is pending. It is sent only on a connection that owes no reply, so replies stay in order.

Test: failover_random, no_replica_stays_paused_after_a_cancelled_failover, red before; mutant late-pause-not-resumed is red.

--- a/src/process/failover.c
+++ b/src/process/failover.c
@@ -161,6 +161,7 @@
 {
   Cfs__Turn turn = CFS__TURN__INIT;
 
+  failover_resume_replicas (f, now);
   turn.service = f->service;
   turn.target = f->candidate;
   turn.fence = f->fence;
@@ -239,7 +240,6 @@
   cfs_log (CFS_NOTICE, PART, "service=%s target=%s is already primary",
            f->service, primary->target);
   cfs_copy (f->candidate, sizeof f->candidate, primary->target);
-  failover_resume_replicas (f, now);
   close_failover (m, f, now);
 }
 
@@ -289,7 +289,6 @@
   cfs_log (CFS_NOTICE, PART,
            "service=%s failover cancelled, target=%s is still primary",
            f->service, primary->id);
-  failover_resume_replicas (f, now);
   close_failover (m, f, now);
 }
 
@@ -324,6 +323,7 @@
 static void
 run_closing (struct failover_state *f, uint64_t committed, int64_t now)
 {
+  failover_resume_replicas (f, now);
   if ((committed < f->log_index || failover_query_pending (f))
       && now - f->phase_started_at < COMMIT_TIMEOUT_US)
     return;
@@ -350,7 +350,6 @@
       cfs_log (CFS_NOTICE, PART,
                "service=%s target=%s is primary, took_ms=%" PRId64, f->service,
                t->id, (now - f->started_at) / CFS_US_PER_MS);
-      failover_resume_replicas (f, now);
       close_failover (m, f, now);
     }
   else if (now - f->phase_started_at > CONFIRM_TIMEOUT_US)
--- a/src/process/failover_int.h
+++ b/src/process/failover_int.h
@@ -163,7 +163,9 @@
 failover_poll_instances (struct cfs_failover_manager *manager,
                          struct failover_state *state, int64_t now);
 
-/** failover_resume_replicas() - lets paused replicas receive again */
+/** failover_resume_replicas() - lets the replicas receive again that are known
+ * to be paused and owe no reply; to be repeated until no query is pending,
+ * because a replica may still reply that it has paused */
 void failover_resume_replicas (struct failover_state *state, int64_t now);
 
 /** failover_query_pending() - whether any instance owes a reply */
--- a/src/process/failover_probe.c
+++ b/src/process/failover_probe.c
@@ -288,15 +288,20 @@
   return summary;
 }
 
-/* The connections are closed later, once the replies have arrived. */
 void
 failover_resume_replicas (struct failover_state *f, int64_t now)
 {
   struct cfs_statement resume = { .verb = VERB_RESUME };
 
   for (size_t i = 0; i < f->probe_count; i++)
-    if (f->probes[i].connected && f->probes[i].paused)
-      send_query (&f->probes[i], &resume, now);
+    {
+      struct probe *p = &f->probes[i];
+
+      if (!p->connected || !p->paused || p->query_pending)
+        continue;
+      p->paused = false;
+      send_query (p, &resume, now);
+    }
 }
 
 bool
--- a/tests/unit/failover_random.c
+++ b/tests/unit/failover_random.c
@@ -19,6 +19,8 @@
    with a complete control group. */
 #define FAILOVER_MAX_US (4 * CFS_US_PER_S)
 
+/* Longer than the leader waits for the replicas to pause. */
+#define PAUSE_DELAY_US (1200 * CFS_US_PER_MS)
 /* Times between the execution of two late promotion requests. */
 #define LATE_DELAY_MAX_US (1500 * CFS_US_PER_MS)
 #define LATE_DELAY_STEP_US (50 * CFS_US_PER_MS)
@@ -124,6 +126,30 @@
       carry_out_late_promotions (seed, delay);
 }
 
+/* The failover is cancelled while a replica has not replied to its PAUSE. */
+static void
+no_replica_stays_paused_after_a_cancelled_failover (void **state)
+{
+  (void)state;
+  wf_start (8);
+  wf_run (5 * CFS_US_PER_S);
+  wf_cut_from_leader (0, true);
+  wf_slow_down (1, PAUSE_DELAY_US);
+  wf_suspect (0, true);
+  while (!wf_paused (2))
+    wf_run (10 * CFS_US_PER_MS);
+  wf_suspect (0, false);
+  wf_run (CFS_US_PER_S);
+  wf_cut_from_leader (0, false);
+  wf_slow_down (1, 0);
+  wf_run (PAUSE_DELAY_US + CFS_US_PER_S);
+  assert_int_equal (wf_primary (), 0);
+  assert_int_equal (wf_failover_count (), 0);
+  assert_false (wf_paused (1));
+  assert_false (wf_paused (2));
+  wf_end ();
+}
+
 static void
 an_older_instance_at_the_same_address_is_removed (void **state)
 {
@@ -156,6 +182,7 @@
     cmocka_unit_test (a_failed_primary_is_replaced_in_time),
     cmocka_unit_test (a_primary_that_hosts_suspect_is_replaced),
     cmocka_unit_test (no_promotion_while_a_replica_is_unreachable),
+    cmocka_unit_test (no_replica_stays_paused_after_a_cancelled_failover),
     cmocka_unit_test (no_commit_is_lost_when_promotions_are_carried_out_late),
     cmocka_unit_test (acknowledged_commits_survive_random_failovers)
   };
