The control leader stores and sends the proposals of a round together

Cause: a proposal was synced to disk at once and sent to all members, each time with all entries that they had not confirmed, and each commit was announced to all. 200 hosts that report to a new leader are 200 proposals within a second: 200 syncs and, with 24 ms for a reply, some 100,000 entries sent.

Change: cfs_raft_propose() adds to the log in memory; cfs_raft_flush(), after the messages of a round, stores all with one write and sends them. A member gets entries once, and the next ones with its reply or after 200 ms. Commits are announced with the next append. Entries that were not stored are dropped with the lead. The leader's part of raft.c stands in raft_lead.c now.

Test: raft_burst (before: 200 writes for 200 proposals; entries sent without bound; now at most 8, and each entry once); members, control_random, scenarios hold.

--- a/src/process/control.c
+++ b/src/process/control.c
@@ -140,7 +140,7 @@
   struct cfs_control *c = ctx;
   uint64_t index = 0;
 
-  if (cfs_raft_propose (c->raft, data, len, cfs_now (), &index) != CFS_OK)
+  if (cfs_raft_propose (c->raft, data, len, &index) != CFS_OK)
     return 0;
   return index;
 }
@@ -509,4 +509,5 @@
 cfs_control_pump (struct cfs_control *c)
 {
   cfs_net_pump (c->net);
+  cfs_raft_flush (c->raft, cfs_now ());
 }
--- a/src/process/raft.h
+++ b/src/process/raft.h
@@ -41,6 +41,8 @@
 #define RAFT_VOTERS_SMALL_GROUP 3
 #define RAFT_VOTERS_LARGE_GROUP 5
 #define RAFT_LARGE_GROUP 5
+/* Entries that a member has not confirmed are sent again after this time. */
+#define RAFT_RESEND_US (2 * RAFT_HEARTBEAT_US)
 /* Maximum number of entries in one append message. */
 #define RAFT_BATCH 128
 /* No further entry is added to an append message that holds this many bytes;
@@ -195,20 +197,24 @@
                        int64_t now);
 
 /**
- * cfs_raft_propose() - appends a command on the leader
+ * cfs_raft_propose() - adds a command to the log of the leader
  * @raft: the log
  * @data: packed command, copied
  * @len: its length
- * @now: current time
  * @index: set to the index of the entry, may be NULL
  *
- * CFS_OK means that the entry is in the log of this host, not that it is
- * committed.
- * Return: CFS_OK, CFS_NOT_LEADER, or the error of the append callback, in
- * which case the host is no longer leader.
+ * The entry is stored and sent with all others of the same round, by
+ * cfs_raft_flush() or cfs_raft_tick().  If it cannot be stored, the host is no
+ * longer leader and has dropped it.
+ *
+ * Return: CFS_OK or CFS_NOT_LEADER.
  */
 int cfs_raft_propose (struct cfs_raft *raft, const uint8_t *data, size_t len,
-                      int64_t now, uint64_t *index);
+                      uint64_t *index);
+
+/** cfs_raft_flush() - stores proposed commands and sends them to the members
+ */
+void cfs_raft_flush (struct cfs_raft *raft, int64_t now);
 
 /**
  * cfs_raft_leave() - asks the leader to replace this voter before a shutdown
--- a/src/process/raft_follow.c
+++ b/src/process/raft_follow.c
@@ -75,7 +75,7 @@
       fresh[n].len = (uint32_t)m->entries[i]->data.len;
       fresh[n].data = m->entries[i]->data.data;
     }
-  return raft_append_entries (r, fresh, n);
+  return raft_store_entries (r, fresh, n);
 }
 
 void
@@ -142,6 +142,7 @@
   raft_drop_entries (r, r->snapshot.index + 1);
   free (r->snapshot.data);
   r->snapshot = s;
+  r->stored_index = s.index;
   r->commit_index = s.index;
   r->applied_index = s.index;
   raft_restore_members (r);
--- a/src/process/raft_int.h
+++ b/src/process/raft_int.h
@@ -1,6 +1,6 @@
 /**
- * DOC: Internals of the replicated log, shared by raft.c, raft_vote.c,
- * raft_follow.c and raft_member.c.
+ * DOC: Internals of the replicated log, shared by raft.c, raft_lead.c,
+ * raft_follow.c, raft_vote.c and raft_member.c.
  */
 #ifndef CFS_RAFT_INT_H
 #define CFS_RAFT_INT_H
@@ -39,7 +39,9 @@
  * @match_index: highest index known to be stored by the member
  * @acked_at: send time, by the clock of this leader, of the last append that
  * the member answered
- * @sent_at: time of the last append or snapshot to it
+ * @in_flight: last index that was sent to it, by an append or a snapshot, and
+ * may not have arrived yet
+ * @sent_at: time of the last append with entries, or snapshot, to it
  * @vote_granted: it granted its (pre-)vote in the election under way
  * @leaving: it requested its replacement
  */
@@ -49,6 +51,7 @@
   uint64_t next_index;
   uint64_t match_index;
   int64_t acked_at;
+  uint64_t in_flight;
   int64_t sent_at;
   bool vote_granted;
   bool leaving;
@@ -58,6 +61,8 @@
  * struct cfs_raft - state of one member
  * @log: entries after the snapshot; the one with index
  * snapshot.index + 1 + i is log[i]
+ * @stored_index: last entry that is durable on this host; later ones are
+ * proposals of this leader, which cfs_raft_flush() stores and sends
  * @commit_index: last entry known to be committed
  * @applied_index: last entry applied to the state machine
  * @members_index: index of the entry or the snapshot that holds @members
@@ -87,6 +92,7 @@
   struct cfs_raft_entry *log;
   size_t count;
   size_t cap;
+  uint64_t stored_index;
   uint64_t commit_index;
   uint64_t applied_index;
   struct cfs_raft_membership members;
@@ -158,9 +164,10 @@
 /** raft_drop_entries() - frees the entries in memory from an index on */
 void raft_drop_entries (struct cfs_raft *raft, uint64_t from);
 
-/** raft_append_entries() - stores entries durably, then appends copies */
-int raft_append_entries (struct cfs_raft *raft, struct cfs_raft_entry *entries,
-                         size_t count);
+/** raft_store_entries() - stores entries of a leader durably, then adds copies
+ * to the log */
+int raft_store_entries (struct cfs_raft *raft,
+                        const struct cfs_raft_entry *entries, size_t count);
 
 /** raft_apply_committed() - applies committed commands to the state machine */
 void raft_apply_committed (struct cfs_raft *raft);
@@ -173,10 +180,34 @@
 void raft_on_snapshot (struct cfs_raft *raft, const Cfs__RaftMsg *msg,
                        int64_t now);
 
-/** raft_append_as_leader() - appends an entry and replicates it */
-int raft_append_as_leader (struct cfs_raft *raft,
-                           enum cfs_raft_entry_kind kind, const uint8_t *data,
-                           size_t len, int64_t now);
+/** raft_broadcast_append() - sends heartbeats, with the entries that may be
+ * sent */
+void raft_broadcast_append (struct cfs_raft *raft, int64_t now);
+
+/** raft_majority_confirmed_at() - latest time, by the clock of this leader, up
+ * to which a majority of the voters is known to have followed it */
+int64_t raft_majority_confirmed_at (const struct cfs_raft *raft, int64_t now);
+
+/** raft_add_entry() - adds an entry to the leader's log, not yet stored */
+void raft_add_entry (struct cfs_raft *raft, enum cfs_raft_entry_kind kind,
+                     const uint8_t *data, size_t len);
+
+/** raft_add_to_log() - adds copies of entries to the log in memory */
+void raft_add_to_log (struct cfs_raft *raft,
+                      const struct cfs_raft_entry *entries, size_t count);
+
+/** raft_flush_log() - stores the entries added since the last call with one
+ * write, and sends them to the members */
+int raft_flush_log (struct cfs_raft *raft, int64_t now);
+
+/** raft_on_append_reply() - handles a reply to an append or a snapshot */
+void raft_on_append_reply (struct cfs_raft *raft, const Cfs__RaftMsg *msg,
+                           int64_t now);
+
+/** raft_append_members() - appends a members entry as leader and replicates
+ * it */
+int raft_append_members (struct cfs_raft *raft, const uint8_t *data,
+                         size_t len, int64_t now);
 
 /** raft_find_member() - member with this id, or NULL */
 const struct cfs_raft_member *raft_find_member (const struct cfs_raft *raft,
--- a/src/process/raft_member.c
+++ b/src/process/raft_member.c
@@ -142,7 +142,7 @@
 {
   uint8_t *data;
   size_t len = raft_pack_members (next, &data);
-  int rc = raft_append_as_leader (r, CFS_RAFT_ENTRY_MEMBERS, data, len, now);
+  int rc = raft_append_members (r, data, len, now);
 
   free (data);
   return rc;
--- a/tests/unit/members.c
+++ b/tests/unit/members.c
@@ -315,7 +315,7 @@
 
   if (l >= 0 && w->proposed_count < VALUES / 2
       && cfs_raft_propose (w->members[l].raft, (uint8_t *)&value, sizeof value,
-                           w->now, NULL)
+                           NULL)
              == CFS_OK)
     w->proposed_count++;
 }
@@ -523,7 +523,7 @@
       memcpy (document, &value, sizeof value);
       if (l >= 0
           && cfs_raft_propose (w->members[l].raft, document, sizeof document,
-                               w->now, NULL)
+                               NULL)
                  == CFS_OK)
         w->proposed_count++;
       run (w, 50 * CFS_US_PER_MS);
--- a/tests/world/control.c
+++ b/tests/world/control.c
@@ -85,6 +85,7 @@
 
   if (h->disk.full)
     return CFS_IO;
+  h->disk.writes++;
   for (size_t i = 0; i < count; i++)
     {
       cfs_grow (&h->disk.entries, &h->disk.cap, h->disk.count,
@@ -139,6 +140,7 @@
 
   p.body_case = CFS__PEER__BODY_RAFT;
   p.raft = (Cfs__RaftMsg *)msg;
+  h->entries_sent += msg->n_entries;
   send_message (h->world, (int)h->index, host[1] - '1', &p);
 }
 
@@ -188,9 +190,7 @@
   struct wc_host *h = ctx;
   uint64_t index = 0;
 
-  return cfs_raft_propose (h->raft, data, len, host_now (h), &index) == CFS_OK
-             ? index
-             : 0;
+  return cfs_raft_propose (h->raft, data, len, &index) == CFS_OK ? index : 0;
 }
 
 static const struct cfs_raft_ops raft_ops
--- a/tests/world/control.h
+++ b/tests/world/control.h
@@ -24,6 +24,7 @@
  * @snapshot: last snapshot
  * @entries: log entries after @snapshot
  * @full: writes fail
+ * @writes: number of durable writes of log entries
  */
 struct wc_disk
 {
@@ -32,6 +33,7 @@
   struct cfs_raft_entry *entries;
   size_t count, cap;
   bool full;
+  uint64_t writes;
 };
 
 /**
@@ -39,6 +41,7 @@
  * @alive: the process runs
  * @frozen: the process is suspended; messages to it are queued
  * @drift_ppm: error of its clock, in parts per million
+ * @entries_sent: number of log entries in all messages that it sent
  */
 struct wc_host
 {
@@ -50,6 +53,7 @@
   struct cfs_raft *raft;
   struct cfs_state state;
   struct cfs_leader *leader;
+  uint64_t entries_sent;
 };
 
 /**
