--- a/src/connection/pool.c
+++ b/src/connection/pool.c
@@ -12,10 +12,8 @@
 #define PART "pool"
 /* A connection that is not established within this time has failed. */
 #define OPEN_TIMEOUT_US (1500 * CFS_US_PER_MS)
-/* Idle connections are closed after this time. */
-#define IDLE_TIMEOUT_US (1500 * CFS_US_PER_MS)
-/* The same while the instance refuses connections, to free some of its
-   connection limit for other hosts. */
+/* Idle connections are closed after this time while the instance refuses
+   connections, to free some of its connection limit for other hosts. */
 #define IDLE_TIMEOUT_LIMITED_US (150 * CFS_US_PER_MS)
 /* A released connection is closed if its outstanding replies take longer. */
 #define DRAIN_TIMEOUT_US (2 * CFS_US_PER_S)
@@ -100,6 +98,7 @@
       c->established = true;
       s->opening--;
       c->state = r->state;
+      target_note_opened (s, now - c->changed_at);
       c->changed_at = now;
       s->opened++;
     }
@@ -238,9 +237,10 @@
     return age > OPEN_TIMEOUT_US;
   if (c->pending)
     return age > DRAIN_TIMEOUT_US;
-  return !t || t->draining
-         || age > (target_at_conn_limit (s, now) ? IDLE_TIMEOUT_LIMITED_US
-                                                 : IDLE_TIMEOUT_US);
+  if (!t || t->draining)
+    return true;
+  return target_at_conn_limit (s, now) ? age > IDLE_TIMEOUT_LIMITED_US
+                                       : age > s->idle.timeout_us;
 }
 
 /* Whether a connection that a user waits for was not established in time; the
@@ -298,6 +298,12 @@
   return last;
 }
 
+bool
+target_has_idle (const struct target_state *s, const char *team)
+{
+  return find_idle (s, team) != NULL;
+}
+
 static struct cfs_pooled_conn *
 open_conn (struct cfs_pool *p, const struct cfs_target *t, const char *team)
 {
@@ -367,14 +373,36 @@
   return c;
 }
 
+/* Closes the least recently used idle connections beyond the limit. */
+static void
+close_surplus (const struct target_state *s)
+{
+  size_t idle = 0;
+
+  for (const struct cfs_pooled_conn *c = s->first_conn; c; c = c->next)
+    idle += is_idle (c);
+  for (; idle > s->idle.count; idle--)
+    cfs_pool_close_conn (find_idle (s, NULL));
+}
+
 void
 cfs_pool_release (struct cfs_pooled_conn *c, int64_t now)
 {
+  struct cfs_pool *p = c->pool;
+  struct target_state *s = state_of (c);
+  const struct cfs_target *t = cfs_fleet_target (p->fleet, s->id);
+
   c->user = NULL;
   if (!c->established)
-    c->changed_at = now;
-  else
-    drain_released (c, now);
+    {
+      c->changed_at = now;
+      return;
+    }
+  target_note_release (s, now);
+  if (t)
+    s->idle = target_idle_limit (p, s, t->service);
+  drain_released (c, now);
+  close_surplus (s);
 }
 
 const char *
--- a/src/connection/pool.h
+++ b/src/connection/pool.h
@@ -5,9 +5,10 @@
  * A connection has at most one user at a time.  It can be reused only outside
  * a transaction; after its release the pool consumes the outstanding replies
  * before it hands the connection to another user.  The connection limit of an
- * instance covers all hosts together, and only the instance enforces it, by
- * refusing connections: a host that is refused closes idle connections sooner
- * and backs off.
+ * instance covers all hosts together.  A host keeps as many idle connections
+ * as its part of the limit allows, so that there is room for those in use; a
+ * host that is refused a connection all the same closes idle ones sooner and
+ * backs off.
  */
 #ifndef CFS_POOL_H
 #define CFS_POOL_H
@@ -82,8 +83,10 @@
 void cfs_pool_close_conn (struct cfs_pooled_conn *conn);
 
 /**
- * cfs_pool_choose() - the instance with the lowest expected latency
+ * cfs_pool_choose() - the instance with the lowest expected latency, including
+ * the time to open a connection if none of the team's is idle
  * @service: name of the group
+ * @team: team on whose behalf the statement runs
  * @min_position: position that the instance's log must have reached; instances
  * that were recently found to be behind it are skipped
  * @excluded: names of @excluded_count instances that were already tried
@@ -91,7 +94,7 @@
  * Return: the target, or NULL if no instance is eligible at the moment.
  */
 const struct cfs_target *
-cfs_pool_choose (struct cfs_pool *pool, const char *service,
+cfs_pool_choose (struct cfs_pool *pool, const char *service, const char *team,
                  const struct cfs_position *min_position,
                  const char (*excluded)[CFS_NAME_MAX], size_t excluded_count,
                  int64_t now);
--- a/src/connection/pool_int.h
+++ b/src/connection/pool_int.h
@@ -10,6 +10,17 @@
 /* Measurements of an instance expire after this time without a new one. */
 #define MEASUREMENT_TTL_US (2 * CFS_US_PER_S)
 
+/**
+ * struct idle_limit - idle connections that a host keeps to an instance
+ * @count: how many
+ * @timeout_us: how long each
+ */
+struct idle_limit
+{
+  size_t count;
+  int64_t timeout_us;
+};
+
 /**
  * struct target_state - this host's view of one instance
  * @id: name of the target
@@ -32,6 +43,11 @@
  * succeeded since
  * @behind: position that its log is assumed to lack until @behind_until
  * @behind_pause: backoff for reads that require @behind
+ * @opening_us: moving average of the time to establish a connection, 0 if it
+ * is not known
+ * @releases: connections released, each counting less as it gets older
+ * @released_at: time of the last release
+ * @idle: idle connections to keep, as of the last release
  * @opened: connections established
  * @refused: connections refused
  * @lost: connection failures
@@ -57,6 +73,10 @@
   struct cfs_position behind;
   int64_t behind_until;
   int64_t behind_pause;
+  int64_t opening_us;
+  double releases;
+  int64_t released_at;
+  struct idle_limit idle;
   uint64_t opened;
   uint64_t refused;
   uint64_t lost;
@@ -90,6 +110,24 @@
 void target_note_latency (struct target_state *state, int64_t took_us,
                           int64_t now);
 
+/** target_note_opened() - records that a connection was established */
+void target_note_opened (struct target_state *state, int64_t took_us);
+
+/** target_note_release() - records that a connection was released */
+void target_note_release (struct target_state *state, int64_t now);
+
+/**
+ * target_idle_limit() - this host's part of the idle connections of an
+ * instance
+ * @service: name of the group of the instance
+ */
+struct idle_limit target_idle_limit (const struct cfs_pool *pool,
+                                     const struct target_state *state,
+                                     const char *service);
+
+/** target_has_idle() - whether a connection of the team is idle */
+bool target_has_idle (const struct target_state *state, const char *team);
+
 /** target_at_conn_limit() - whether the instance recently refused connections
  */
 bool target_at_conn_limit (const struct target_state *state, int64_t now);
--- a/src/connection/pool_target.c
+++ b/src/connection/pool_target.c
@@ -10,6 +10,7 @@
  */
 #include "pool_int.h"
 
+#include <math.h>
 #include <string.h>
 
 /* For this time after a refused connection the instance counts as being at
@@ -34,6 +35,17 @@
 /* Assumed latency of an instance without recent measurements. */
 #define LATENCY_SAME_REGION_US (20 * CFS_US_PER_MS)
 #define LATENCY_OTHER_REGION_US (50 * CFS_US_PER_MS)
+/* Part of an instance's connection limit that the idle connections of all
+   hosts may take together; the rest is for connections in use. */
+#define IDLE_FRACTION 0.6
+/* Idle connections are closed after this time even if there is room for them.
+ */
+#define IDLE_TIMEOUT_MAX_US (20 * CFS_US_PER_S)
+/* The same while the number of hosts or the connection limit is not known. */
+#define IDLE_TIMEOUT_DEFAULT_US (1500 * CFS_US_PER_MS)
+#define IDLE_COUNT_DEFAULT 4
+/* A release counts less by a factor of e after this time. */
+#define RELEASE_DECAY_US (5 * CFS_US_PER_S)
 /* Weight of a new measurement in the moving average, as a divisor. */
 #define EWMA_DIVISOR 8
 
@@ -97,6 +109,50 @@
     s->overload_pause = 0;
 }
 
+void
+target_note_opened (struct target_state *s, int64_t took_us)
+{
+  if (s->opening_us)
+    s->opening_us += (took_us - s->opening_us) / EWMA_DIVISOR;
+  else
+    s->opening_us = took_us;
+}
+
+void
+target_note_release (struct target_state *s, int64_t now)
+{
+  double age = (double)(now - s->released_at) / RELEASE_DECAY_US;
+
+  s->releases = s->releases * exp (-age) + 1;
+  s->released_at = now;
+}
+
+/* With room for one connection or more, that many are kept.  With less, one is
+   kept for a part of the time: as long as makes the host's average number of
+   idle connections, its releases in a second times the seconds that each
+   stays, equal to its part of the limit. */
+struct idle_limit
+target_idle_limit (const struct cfs_pool *p, const struct target_state *s,
+                   const char *service)
+{
+  struct idle_limit limit = { IDLE_COUNT_DEFAULT, IDLE_TIMEOUT_DEFAULT_US };
+  const struct cfs_service *group
+      = p->fleet->catalog ? cfs_catalog_service (p->fleet->catalog, service)
+                          : NULL;
+  double part;
+
+  if (!group || !p->fleet->live_hosts)
+    return limit;
+  part = IDLE_FRACTION * group->max_connections / p->fleet->live_hosts;
+  limit.count = part < 1 ? 1 : (size_t)part;
+  limit.timeout_us = IDLE_TIMEOUT_MAX_US;
+  if (part < 1)
+    limit.timeout_us = (int64_t)(part * RELEASE_DECAY_US / s->releases);
+  if (limit.timeout_us > IDLE_TIMEOUT_MAX_US)
+    limit.timeout_us = IDLE_TIMEOUT_MAX_US;
+  return limit;
+}
+
 bool
 target_at_conn_limit (const struct target_state *s, int64_t now)
 {
@@ -123,24 +179,30 @@
 }
 
 /* Expected time to a reply from a target in microseconds: the measured
-   latency, scaled up by this host's pending statements per slot. */
+   latency, scaled up by this host's pending statements per slot, and the time
+   to open a connection if the team has no idle one. */
 static int64_t
 expected_latency_us (struct cfs_pool *p, const struct cfs_target *t,
-                     int64_t now)
+                     const char *team, int64_t now)
 {
   const struct target_state *s = cfs_table_find (&p->states, t->id);
   int64_t base = cfs_fleet_in_region (p->fleet, t->zone)
                      ? LATENCY_SAME_REGION_US
                      : LATENCY_OTHER_REGION_US;
   unsigned slots = t->slots ? t->slots : 1;
+  int64_t opening = 0;
 
-  if (!s || now - s->measured_at > MEASUREMENT_TTL_US)
-    return base + (s ? base * s->pending / slots : 0);
-  return s->latency_us + s->latency_us * s->pending / slots;
+  if (!s)
+    return base + base;
+  if (now - s->measured_at <= MEASUREMENT_TTL_US)
+    base = s->latency_us;
+  if (!target_has_idle (s, team))
+    opening = s->opening_us ? s->opening_us : base;
+  return base + base * s->pending / slots + opening;
 }
 
 const struct cfs_target *
-cfs_pool_choose (struct cfs_pool *p, const char *service,
+cfs_pool_choose (struct cfs_pool *p, const char *service, const char *team,
                  const struct cfs_position *min_position,
                  const char (*excluded)[CFS_NAME_MAX], size_t excluded_count,
                  int64_t now)
@@ -162,7 +224,7 @@
       if (s && now < s->behind_until
           && cfs_position_compare (&s->behind, min_position) <= 0)
         continue;
-      us = expected_latency_us (p, t, now);
+      us = expected_latency_us (p, t, team, now);
       if (best && us >= best_us)
         continue;
       best = t;
--- a/src/connection/sample.c
+++ b/src/connection/sample.c
@@ -2,8 +2,10 @@
  * A ring buffer of samples per service, with a minimum distance between
  * samples so that it spans the greatest maximum age in use.  A read takes the
  * oldest sample that is recent enough, because that requires the least of a
- * replica.  Most samples come from the writes and transactions of callers; the
- * primary is queried separately only if these are too rare.
+ * replica.  Samples come from the writes and transactions of callers and from
+ * the control leader, which probes all primaries anyway.  The primary is
+ * queried separately only if these are too old: with many hosts, such queries
+ * would be as many as the statements of callers.
  */
 #include "sample.h"
 
@@ -18,9 +20,9 @@
 #define SPACING_US (80 * CFS_US_PER_MS)
 /* Allowance for the time between the choice of a sample and the read. */
 #define MARGIN_US (150 * CFS_US_PER_MS)
-/* The primary is queried in advance once the newest sample is older than the
-   smallest maximum age in use, divided by this. */
-#define PREFETCH_DIVISOR 2
+/* The primary is queried in advance when the newest sample becomes too old
+   within this time. */
+#define PREFETCH_US (300 * CFS_US_PER_MS)
 /* A service without reads for longer than this is not queried in advance. */
 #define RECENT_READ_US (3 * CFS_US_PER_S)
 /* A query without a reply for longer than this is cancelled. */
@@ -267,7 +269,8 @@
     }
   if (r->last_read_at && now - r->last_read_at < RECENT_READ_US
       && (!last
-          || now - last->requested_at > r->min_max_age_us / PREFETCH_DIVISOR))
+          || now - last->requested_at
+                 > r->min_max_age_us - MARGIN_US - PREFETCH_US))
     start_query (r, now);
 }
 
--- a/src/connection/session.c
+++ b/src/connection/session.c
@@ -543,6 +543,14 @@
     }
 }
 
+void
+cfs_sessions_add_sample (struct cfs_sessions *ss, const char *service,
+                         const struct cfs_position *position,
+                         int64_t requested_at)
+{
+  cfs_samples_add (ss->samples, service, position, requested_at);
+}
+
 void
 cfs_sessions_stop_accepting (struct cfs_sessions *ss)
 {
--- a/src/connection/session.h
+++ b/src/connection/session.h
@@ -47,6 +47,17 @@
 void cfs_sessions_drain (struct cfs_sessions *sessions, int64_t idle_us,
                          bool abandon, int64_t now);
 
+/**
+ * cfs_sessions_add_sample() - records the log position of a primary that the
+ * control leader queried
+ * @requested_at: latest time, by this host's clock, that is certainly not
+ * after the query
+ */
+void cfs_sessions_add_sample (struct cfs_sessions *sessions,
+                              const char *service,
+                              const struct cfs_position *position,
+                              int64_t requested_at);
+
 /** cfs_sessions_stop_accepting() - refuses new sessions from now on */
 void cfs_sessions_stop_accepting (struct cfs_sessions *sessions);
 
--- a/src/connection/session_run.c
+++ b/src/connection/session_run.c
@@ -161,7 +161,7 @@
 
   if (session_needs_primary (s))
     return cfs_pool_primary (pool, s->service, now);
-  t = cfs_pool_choose (pool, s->service, &s->op.min_position,
+  t = cfs_pool_choose (pool, s->service, s->team, &s->op.min_position,
                        (const char (*)[CFS_NAME_MAX])s->op.tried,
                        s->op.tried_count, now);
   if (!t)
--- a/src/process/control_fleet.c
+++ b/src/process/control_fleet.c
@@ -152,6 +152,15 @@
   c->fleet.setup.promote (c->fleet.setup.ctx, service, target, fence);
 }
 
+static void
+primary_position (void *ctx, const char *service,
+                  const struct cfs_position *position, int64_t requested_at)
+{
+  const struct cfs_control *c = ctx;
+
+  cfs_leader_set_position (c->leader, service, position, requested_at);
+}
+
 static size_t
 suspecting_hosts (void *ctx, const char *target, size_t *hosts)
 {
@@ -162,7 +171,7 @@
 }
 
 static const struct cfs_failover_ops failover_ops
-    = { propose_failover, promote, suspecting_hosts };
+    = { propose_failover, promote, primary_position, suspecting_hosts };
 
 void
 cfs_control_serve_fleet (struct cfs_control *c,
--- a/src/process/failover.h
+++ b/src/process/failover.h
@@ -42,6 +42,8 @@
  * log index, or 0 on failure
  * @promote: requests the promotion of an instance; the result is passed to
  * cfs_failover_promotion_result()
+ * @primary_position: a primary proved by its reply that it leads; @position
+ * covers all commits acknowledged before @requested_at
  * @suspecting_hosts: returns the number of hosts that report a target as
  * unreachable, and sets @hosts to the number of hosts alive
  */
@@ -50,6 +52,9 @@
   uint64_t (*propose) (void *ctx, const Cfs__Turn *turn);
   void (*promote) (void *ctx, const char *service, const char *target,
                    uint64_t fence);
+  void (*primary_position) (void *ctx, const char *service,
+                            const struct cfs_position *position,
+                            int64_t requested_at);
   size_t (*suspecting_hosts) (void *ctx, const char *target, size_t *hosts);
 };
 
--- a/src/process/failover_probe.c
+++ b/src/process/failover_probe.c
@@ -59,6 +59,18 @@
   p->term = r->position.term;
 }
 
+/* Passes on the position in the reply to a BEGIN, which only a primary
+   accepts. */
+static void
+report_position (const struct probe *p, const struct cfs_reply *r)
+{
+  const struct cfs_failover_manager *m = p->owner;
+  const struct cfs_target *t = cfs_table_find (&m->state->targets, p->target);
+
+  if (r->code == REPLY_OK && t)
+    m->ops->primary_position (m->ctx, t->service, &r->position, p->sent_at);
+}
+
 static void
 on_replied (void *owner, const struct cfs_reply *r)
 {
@@ -72,6 +84,7 @@
       struct cfs_statement end = { .verb = VERB_ROLLBACK };
 
       p->status.primary = r->code == REPLY_OK;
+      report_position (p, r);
       p->status_known = true;
       p->replied_at = p->owner->clock ();
       if (r->state != TX_IDLE)
--- a/src/process/fleet.c
+++ b/src/process/fleet.c
@@ -86,6 +86,8 @@
   bool current = r->version > 0 && update_catalog (f, r);
 
   update_targets (f, r);
+  if (r->live_hosts)
+    f->live_hosts = r->live_hosts;
   if (current && r->lease_until_us > f->lease_until)
     f->lease_until = r->lease_until_us;
   return f->catalog && f->catalog->version != old_version;
--- a/src/process/fleet.h
+++ b/src/process/fleet.h
@@ -24,6 +24,7 @@
  * @targets: table of struct cfs_target
  * @failovers: table of struct cfs_failover
  * @lease_until: end of the lease of @catalog
+ * @live_hosts: number of hosts in the fleet, 0 if it is not known
  */
 struct cfs_fleet
 {
@@ -33,6 +34,7 @@
   struct cfs_table targets;
   struct cfs_table failovers;
   int64_t lease_until;
+  uint32_t live_hosts;
 };
 
 /** cfs_fleet_init() - starts without data and without a lease */
--- a/src/process/front.c
+++ b/src/process/front.c
@@ -30,6 +30,8 @@
 /* Shorter interval while a team has demand here, but its share is not yet
    settled. */
 #define DEMAND_URGENT_INTERVAL_US (100 * CFS_US_PER_MS)
+/* Difference in rate allowed for between the clocks of two hosts. */
+#define CLOCK_DRIFT_PERCENT 5
 /* Maximum number of teams in one request for tokens. */
 #define TOKEN_REQUEST_TEAMS_MAX 64
 /* Start of the stages of a planned stop, as fractions of the stop time: close
@@ -149,11 +151,32 @@
          - (lease > SHARE_LEASE_US ? lease - SHARE_LEASE_US : 0);
 }
 
+/* Takes the positions of the primaries from a reply.  The leader wrote it
+   after this host had sent its heartbeat, so the time of the heartbeat, less
+   the age of the position, is not after the leader's query. */
+static void
+apply_samples (struct cfs_front *f, const Cfs__HeartbeatReply *r)
+{
+  int64_t heartbeat_at = r->lease_until_us - f->settings->document_lease_us;
+
+  for (size_t i = 0; i < r->n_samples; i++)
+    {
+      const Cfs__PrimarySample *s = r->samples[i];
+      struct cfs_position position = { s->term, s->number };
+      int64_t age_us = s->age_us + s->age_us * CLOCK_DRIFT_PERCENT / 100;
+
+      if (s->age_us >= 0)
+        cfs_sessions_add_sample (f->sessions, s->service, &position,
+                                 heartbeat_at - age_us);
+    }
+}
+
 static void
 apply_reply (struct cfs_front *f, const Cfs__HeartbeatReply *r)
 {
   int64_t until = shares_until (f, r);
 
+  apply_samples (f, r);
   cfs_fleet_update (&f->fleet, r);
   if (r->has_shares && f->fleet.catalog)
     cfs_quota_update (&f->quota, r->shares, r->n_shares, f->fleet.catalog,
--- a/src/process/leader.c
+++ b/src/process/leader.c
@@ -96,6 +96,7 @@
 {
   l->hosts.count = 0;
   l->releases.count = 0;
+  l->samples.count = 0;
   l->assign_index = 0;
   l->grace_end = now + LEASE_WAIT_US;
   l->leader_since = now;
@@ -173,13 +174,17 @@
   return hosts->count > 0;
 }
 
+/* Removes hosts and instances that were silent for long, and counts the live
+   hosts. */
 static void
 evict_expired (struct cfs_leader *l, int64_t now)
 {
+  l->live_hosts = 0;
   for (size_t i = l->hosts.count; i > 0; i--)
     {
       const struct cfs_host *h = cfs_table_at (&l->hosts, i - 1);
 
+      l->live_hosts += now - h->seen_at < LEASE_WAIT_US;
       if (now - h->seen_at > HOST_EXPIRY_US)
         cfs_table_remove (&l->hosts, i - 1);
     }
@@ -308,6 +313,7 @@
   cfs_table_init (&l->hosts, sizeof (struct cfs_host));
   cfs_table_init (&l->instances, sizeof (struct cfs_instance));
   cfs_table_init (&l->releases, sizeof (struct release));
+  cfs_table_init (&l->samples, sizeof (struct primary_sample));
   cfs_shares_init (&l->shares);
   return l;
 }
@@ -321,6 +327,7 @@
   cfs_table_end (&l->hosts);
   cfs_table_end (&l->instances);
   cfs_table_end (&l->releases);
+  cfs_table_end (&l->samples);
   free (l->reply.versions);
   free (l->reply.version_list);
   free (l->reply.leases);
@@ -380,7 +387,7 @@
     h->lease_end = now + LEASE_WAIT_US;
   leader_reply_conf (l, in->version);
   leader_reply_directory (l, in);
-  leader_reply_fleet (l, in, now);
+  leader_reply_fleet (l, h, in, now);
   return &l->reply.msg;
 }
 
@@ -409,6 +416,17 @@
       = lease_us < SHARE_LEASE_US ? lease_us + lease_us / 20 : SHARE_EXPIRY_US;
 }
 
+void
+cfs_leader_set_position (struct cfs_leader *l, const char *service,
+                         const struct cfs_position *position,
+                         int64_t requested_at)
+{
+  struct primary_sample *s = cfs_table_add (&l->samples, service);
+
+  s->position = *position;
+  s->requested_at = requested_at;
+}
+
 void
 cfs_leader_set_members (struct cfs_leader *l,
                         const struct cfs_raft_membership *members)
--- a/src/process/leader.h
+++ b/src/process/leader.h
@@ -12,6 +12,7 @@
 #define CFS_LEADER_H
 
 #include "../cfs.h"
+#include "../connection/adapter.h"
 #include "../version/conf.h"
 #include "fleet.h"
 #include "raft.h"
@@ -71,6 +72,7 @@
  * @idle_since: time since which the host has certainly admitted no operation,
  * according to its first report; the time of that report if it held a share
  * @recorded_at: time of the last proposal to record the host
+ * @samples_sent_at: time of the last reply with positions of the primaries
  */
 struct cfs_host
 {
@@ -90,6 +92,7 @@
   bool shares_reported;
   int64_t idle_since;
   int64_t recorded_at;
+  int64_t samples_sent_at;
 };
 
 /**
@@ -187,6 +190,17 @@
                                  const struct cfs_document_decoder *decoder,
                                  int64_t lease_us);
 
+/**
+ * cfs_leader_set_position() - sets the log position of a service's primary,
+ * which hosts learn from replies
+ * @position: position that the primary gave
+ * @requested_at: when it was asked; the position covers all commits that were
+ * acknowledged before
+ */
+void cfs_leader_set_position (struct cfs_leader *leader, const char *service,
+                              const struct cfs_position *position,
+                              int64_t requested_at);
+
 /** cfs_leader_set_members() - sets the members of the control group, which
  * hosts learn from replies */
 void cfs_leader_set_members (struct cfs_leader *leader,
--- a/src/process/leader_int.h
+++ b/src/process/leader_int.h
@@ -16,6 +16,15 @@
   uint64_t epoch;
 };
 
+/* Position of a service's primary, in the reply to a query sent at
+   requested_at. */
+struct primary_sample
+{
+  char service[CFS_NAME_MAX];
+  struct cfs_position position;
+  int64_t requested_at;
+};
+
 /* Replies under construction and the arrays that they refer to, which are
    reused between calls. */
 struct reply_buffers
@@ -44,6 +53,9 @@
   Cfs__TeamShare *shares;
   Cfs__TeamShare **share_list;
   size_t share_cap;
+  Cfs__PrimarySample *samples;
+  Cfs__PrimarySample **sample_list;
+  size_t sample_cap;
   char *members[RAFT_MEMBERS_MAX];
   Cfs__TokensGrant tokens;
   Cfs__TeamTokens *teams;
@@ -73,6 +85,8 @@
  * @holders_checked_at: time of the last check for expired share holders
  * @shares: shares and tokens of the teams
  * @members: members of the control group
+ * @samples: table of struct primary_sample
+ * @live_hosts: number of hosts that sent a heartbeat lately
  */
 struct cfs_leader
 {
@@ -97,6 +111,8 @@
   int64_t holders_checked_at;
   struct cfs_shares shares;
   struct cfs_raft_membership members;
+  struct cfs_table samples;
+  uint32_t live_hosts;
 };
 
 /** leader_propose() - appends a command to the replicated log; returns its
@@ -117,9 +133,10 @@
 void leader_reply_directory (struct cfs_leader *leader,
                              const Cfs__Heartbeat *in);
 
-/** leader_reply_fleet() - adds targets, failovers, shares and members */
-void leader_reply_fleet (struct cfs_leader *leader, const Cfs__Heartbeat *in,
-                         int64_t now);
+/** leader_reply_fleet() - adds targets, failovers, shares, members and the
+ * positions of the primaries */
+void leader_reply_fleet (struct cfs_leader *leader, struct cfs_host *host,
+                         const Cfs__Heartbeat *in, int64_t now);
 
 /** leader_reply_end() - frees the buffers of leader_reply_fleet() and of
  * cfs_leader_grant_tokens() */
--- a/src/process/leader_reply.c
+++ b/src/process/leader_reply.c
@@ -9,6 +9,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Minimum time between two replies to a host with positions of primaries. */
+#define SAMPLES_INTERVAL_US (500 * CFS_US_PER_MS)
+/* Positions that were requested longer ago are not sent. */
+#define SAMPLE_MAX_AGE_US CFS_US_PER_S
+
 /* Makes room for @need items of @size bytes and as many pointers to them; the
    former contents are lost. */
 static void
@@ -277,12 +282,44 @@
   b->msg.n_members = l->members.count;
 }
 
+/* Adds the positions of the primaries that are recent enough for a read with
+   a stated age. */
+static void
+reply_samples (struct cfs_leader *l, struct cfs_host *h, int64_t now)
+{
+  struct reply_buffers *b = &l->reply;
+
+  if (now - h->samples_sent_at < SAMPLES_INTERVAL_US)
+    return;
+  h->samples_sent_at = now;
+  reserve (&b->samples, &b->sample_list, &b->sample_cap, l->samples.count,
+           sizeof *b->samples);
+  for (size_t i = 0; i < l->samples.count; i++)
+    {
+      const struct primary_sample *s = cfs_table_at (&l->samples, i);
+      size_t n = b->msg.n_samples;
+
+      if (now - s->requested_at > SAMPLE_MAX_AGE_US)
+        continue;
+      cfs__primary_sample__init (&b->samples[n]);
+      b->samples[n].service = (char *)s->service;
+      b->samples[n].term = s->position.term;
+      b->samples[n].number = s->position.number;
+      b->samples[n].age_us = now - s->requested_at;
+      b->sample_list[n] = &b->samples[n];
+      b->msg.n_samples++;
+    }
+  b->msg.samples = b->sample_list;
+}
+
 void
-leader_reply_fleet (struct cfs_leader *l, const Cfs__Heartbeat *in,
-                    int64_t now)
+leader_reply_fleet (struct cfs_leader *l, struct cfs_host *h,
+                    const Cfs__Heartbeat *in, int64_t now)
 {
   if (!l->decoder)
     return;
+  l->reply.msg.live_hosts = l->live_hosts;
+  reply_samples (l, h, now);
   reply_targets (l, in->directory);
   reply_failovers (l, in->directory);
   reply_shares (l, in, now);
@@ -299,6 +336,8 @@
   free (l->reply.turn_list);
   free (l->reply.shares);
   free (l->reply.share_list);
+  free (l->reply.samples);
+  free (l->reply.sample_list);
   free (l->reply.teams);
   free (l->reply.team_list);
 }
--- a/src/process/wire.pb-c.c
+++ b/src/process/wire.pb-c.c
@@ -862,6 +862,51 @@
   assert(message->base.descriptor == &cfs__version__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfs__primary_sample__init
+                     (Cfs__PrimarySample         *message)
+{
+  static const Cfs__PrimarySample init_value = CFS__PRIMARY_SAMPLE__INIT;
+  *message = init_value;
+}
+size_t cfs__primary_sample__get_packed_size
+                     (const Cfs__PrimarySample *message)
+{
+  assert(message->base.descriptor == &cfs__primary_sample__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfs__primary_sample__pack
+                     (const Cfs__PrimarySample *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfs__primary_sample__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfs__primary_sample__pack_to_buffer
+                     (const Cfs__PrimarySample *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfs__primary_sample__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfs__PrimarySample *
+       cfs__primary_sample__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfs__PrimarySample *)
+     protobuf_c_message_unpack (&cfs__primary_sample__descriptor,
+                                allocator, len, data);
+}
+void   cfs__primary_sample__free_unpacked
+                     (Cfs__PrimarySample *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfs__primary_sample__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfs__heartbeat_reply__init
                      (Cfs__HeartbeatReply         *message)
 {
@@ -3635,7 +3680,84 @@
   (ProtobufCMessageInit) cfs__version__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfs__heartbeat_reply__field_descriptors[18] =
+static const ProtobufCFieldDescriptor cfs__primary_sample__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__PrimarySample, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__PrimarySample, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__PrimarySample, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__PrimarySample, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfs__primary_sample__field_indices_by_name[] = {
+  3,   /* field[3] = age_us */
+  2,   /* field[2] = number */
+  0,   /* field[0] = service */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange cfs__primary_sample__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cfs__primary_sample__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfs.PrimarySample",
+  "PrimarySample",
+  "Cfs__PrimarySample",
+  "cfs",
+  sizeof(Cfs__PrimarySample),
+  4,
+  cfs__primary_sample__field_descriptors,
+  cfs__primary_sample__field_indices_by_name,
+  1,  cfs__primary_sample__number_ranges,
+  (ProtobufCMessageInit) cfs__primary_sample__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cfs__heartbeat_reply__field_descriptors[20] =
 {
   {
     "seq",
@@ -3853,6 +3975,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "samples",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__HeartbeatReply, n_samples),
+    offsetof(Cfs__HeartbeatReply, samples),
+    &cfs__primary_sample__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "live_hosts",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__HeartbeatReply, live_hosts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfs__heartbeat_reply__field_indices_by_name[] = {
   6,   /* field[6] = assignments */
@@ -3864,8 +4010,10 @@
   8,   /* field[8] = instances */
   2,   /* field[2] = leader */
   10,   /* field[10] = lease_until_us */
+  19,   /* field[19] = live_hosts */
   14,   /* field[14] = members */
   15,   /* field[15] = members_hash */
+  18,   /* field[18] = samples */
   16,   /* field[16] = sent_at_us */
   0,   /* field[0] = seq */
   13,   /* field[13] = shares */
@@ -3877,7 +4025,7 @@
 static const ProtobufCIntRange cfs__heartbeat_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor cfs__heartbeat_reply__descriptor =
 {
@@ -3887,7 +4035,7 @@
   "Cfs__HeartbeatReply",
   "cfs",
   sizeof(Cfs__HeartbeatReply),
-  18,
+  20,
   cfs__heartbeat_reply__field_descriptors,
   cfs__heartbeat_reply__field_indices_by_name,
   1,  cfs__heartbeat_reply__number_ranges,
--- a/src/process/wire.pb-c.h
+++ b/src/process/wire.pb-c.h
@@ -34,6 +34,7 @@
 typedef struct Cfs__TeamUse Cfs__TeamUse;
 typedef struct Cfs__TeamShare Cfs__TeamShare;
 typedef struct Cfs__Version Cfs__Version;
+typedef struct Cfs__PrimarySample Cfs__PrimarySample;
 typedef struct Cfs__HeartbeatReply Cfs__HeartbeatReply;
 typedef struct Cfs__AssignBatch Cfs__AssignBatch;
 typedef struct Cfs__TermGrant Cfs__TermGrant;
@@ -442,7 +443,22 @@
  * document, versions: the whole configuration, or patches since the version in
  * the heartbeat.
  * lease_until_us: filled in by the host that receives the reply.
+ * Log position of a service's primary, and how long before the reply the
+ * leader sent the query that the primary answered with it.
  */
+struct  Cfs__PrimarySample
+{
+  ProtobufCMessage base;
+  char *service;
+  uint64_t term;
+  uint64_t number;
+  int64_t age_us;
+};
+#define CFS__PRIMARY_SAMPLE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfs__primary_sample__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 struct  Cfs__HeartbeatReply
 {
   ProtobufCMessage base;
@@ -472,10 +488,13 @@
   uint64_t members_hash;
   int64_t sent_at_us;
   protobuf_c_boolean has_shares;
+  size_t n_samples;
+  Cfs__PrimarySample **samples;
+  uint32_t live_hosts;
 };
 #define CFS__HEARTBEAT_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfs__heartbeat_reply__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -1210,6 +1229,25 @@
 void   cfs__version__free_unpacked
                      (Cfs__Version *message,
                       ProtobufCAllocator *allocator);
+/* Cfs__PrimarySample methods */
+void   cfs__primary_sample__init
+                     (Cfs__PrimarySample         *message);
+size_t cfs__primary_sample__get_packed_size
+                     (const Cfs__PrimarySample   *message);
+size_t cfs__primary_sample__pack
+                     (const Cfs__PrimarySample   *message,
+                      uint8_t             *out);
+size_t cfs__primary_sample__pack_to_buffer
+                     (const Cfs__PrimarySample   *message,
+                      ProtobufCBuffer     *buffer);
+Cfs__PrimarySample *
+       cfs__primary_sample__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfs__primary_sample__free_unpacked
+                     (Cfs__PrimarySample *message,
+                      ProtobufCAllocator *allocator);
 /* Cfs__HeartbeatReply methods */
 void   cfs__heartbeat_reply__init
                      (Cfs__HeartbeatReply         *message);
@@ -1630,6 +1668,9 @@
 typedef void (*Cfs__Version_Closure)
                  (const Cfs__Version *message,
                   void *closure_data);
+typedef void (*Cfs__PrimarySample_Closure)
+                 (const Cfs__PrimarySample *message,
+                  void *closure_data);
 typedef void (*Cfs__HeartbeatReply_Closure)
                  (const Cfs__HeartbeatReply *message,
                   void *closure_data);
@@ -1712,6 +1753,7 @@
 extern const ProtobufCMessageDescriptor cfs__team_use__descriptor;
 extern const ProtobufCMessageDescriptor cfs__team_share__descriptor;
 extern const ProtobufCMessageDescriptor cfs__version__descriptor;
+extern const ProtobufCMessageDescriptor cfs__primary_sample__descriptor;
 extern const ProtobufCMessageDescriptor cfs__heartbeat_reply__descriptor;
 extern const ProtobufCMessageDescriptor cfs__assign_batch__descriptor;
 extern const ProtobufCMessageDescriptor cfs__term_grant__descriptor;
--- a/tests/world/failover.c
+++ b/tests/world/failover.c
@@ -21,6 +21,8 @@
 #define PROMOTION_TIMEOUT_US (700 * CFS_US_PER_MS)
 #define FAULT_PHASE_US (25 * CFS_US_PER_S)
 #define RECOVERY_US (14 * CFS_US_PER_S)
+/* Steps for which the acknowledged position is kept. */
+#define HISTORY_STEPS 1024
 #define PROMOTIONS_MAX 64
 #define PROPOSALS_MAX 64
 
@@ -124,6 +126,8 @@
  * @fence: highest fencing token of the promotions that were carried out
  * @term: term of the current primary
  * @promoting: instance that becomes primary at @promote_at, or -1
+ * @acked_at: @acked_position at the end of each of the last steps; 0 after
+ * acknowledged commits were rolled back
  * @violation: first violated invariant, or NULL
  */
 struct world
@@ -147,11 +151,18 @@
   int promoting;
   int64_t promote_at;
   unsigned failover_count;
+  uint64_t acked_at[HISTORY_STEPS];
   const char *violation;
 };
 
 static struct world *world;
 
+static size_t
+step_index (int64_t time)
+{
+  return (size_t)(time / STEP_US) % HISTORY_STEPS;
+}
+
 static int64_t
 world_clock (void)
 {
@@ -422,6 +433,16 @@
     }
 }
 
+static void
+check_position (void *ctx, const char *service,
+                const struct cfs_position *position, int64_t requested_at)
+{
+  (void)ctx;
+  (void)service;
+  if (position->number < world->acked_at[step_index (requested_at)])
+    world->violation = "a position lacks a commit acknowledged before";
+}
+
 static size_t
 suspecting_hosts (void *ctx, const char *target, size_t *hosts)
 {
@@ -433,7 +454,7 @@
 }
 
 static const struct cfs_failover_ops ops
-    = { propose, request_promotion, suspecting_hosts };
+    = { propose, request_promotion, check_position, suspecting_hosts };
 
 static void
 become_primary (int i)
@@ -631,6 +652,7 @@
   free_dead_conns ();
   cfs_failover_tick (world->failover, true, world->committed, world->now);
   free_dead_conns ();
+  world->acked_at[step_index (world->now)] = world->acked_position;
   if (world->faults)
     inject_random_fault ();
 }
