--- a/src/connection/pool.c
+++ b/src/connection/pool.c
@@ -261,24 +261,6 @@
   return NULL;
 }
 
-void
-cfs_pool_tick (struct cfs_pool *p, int64_t now)
-{
-  for (size_t i = 0; i < p->states.count; i++)
-    {
-      struct cfs_pooled_conn *c;
-
-      while ((c = find_closable (p, cfs_table_at (&p->states, i), now)))
-        if (open_timed_out (c, now))
-          {
-            c->target_conn->ops->close (c->target_conn);
-            on_lost (c, "timeout while connecting");
-          }
-        else
-          cfs_pool_close_conn (c);
-    }
-}
-
 /* The most recently used idle connection of a team, or if team is NULL the
    least recently used one of any team. */
 static struct cfs_pooled_conn *
@@ -298,6 +280,38 @@
   return last;
 }
 
+/* Closes the least recently used idle connections beyond the limit.  Not to be
+   called while a reply is handled, which may stand in the buffer of one. */
+static void
+close_surplus (const struct target_state *s)
+{
+  size_t idle = 0;
+
+  for (const struct cfs_pooled_conn *c = s->first_conn; c; c = c->next)
+    idle += is_idle (c);
+  for (; idle > s->idle.count; idle--)
+    cfs_pool_close_conn (find_idle (s, NULL));
+}
+
+void
+cfs_pool_tick (struct cfs_pool *p, int64_t now)
+{
+  for (size_t i = 0; i < p->states.count; i++)
+    {
+      struct cfs_pooled_conn *c;
+
+      while ((c = find_closable (p, cfs_table_at (&p->states, i), now)))
+        if (open_timed_out (c, now))
+          {
+            c->target_conn->ops->close (c->target_conn);
+            on_lost (c, "timeout while connecting");
+          }
+        else
+          cfs_pool_close_conn (c);
+      close_surplus (cfs_table_at (&p->states, i));
+    }
+}
+
 bool
 target_has_idle (const struct target_state *s, const char *team)
 {
@@ -373,18 +387,6 @@
   return c;
 }
 
-/* Closes the least recently used idle connections beyond the limit. */
-static void
-close_surplus (const struct target_state *s)
-{
-  size_t idle = 0;
-
-  for (const struct cfs_pooled_conn *c = s->first_conn; c; c = c->next)
-    idle += is_idle (c);
-  for (; idle > s->idle.count; idle--)
-    cfs_pool_close_conn (find_idle (s, NULL));
-}
-
 void
 cfs_pool_release (struct cfs_pooled_conn *c, int64_t now)
 {
@@ -402,7 +404,6 @@
   if (t)
     s->idle = target_idle_limit (p, s, t->service);
   drain_released (c, now);
-  close_surplus (s);
 }
 
 const char *
