--- a/src/connection/pool_int.h
+++ b/src/connection/pool_int.h
@@ -46,6 +46,7 @@
  * @opening_us: moving average of the time to establish a connection, 0 if it
  * is not known
  * @releases: connections released, each counting less as it gets older
+ * @released_since: time of the first release
  * @released_at: time of the last release
  * @idle: idle connections to keep, as of the last release
  * @opened: connections established
@@ -75,6 +76,7 @@
   int64_t behind_pause;
   int64_t opening_us;
   double releases;
+  int64_t released_since;
   int64_t released_at;
   struct idle_limit idle;
   uint64_t opened;
--- a/src/connection/pool_target.c
+++ b/src/connection/pool_target.c
@@ -123,10 +123,22 @@
 {
   double age = (double)(now - s->released_at) / RELEASE_DECAY_US;
 
+  if (!s->released_since)
+    s->released_since = now;
   s->releases = s->releases * exp (-age) + 1;
   s->released_at = now;
 }
 
+/* Time for which the releases of an instance count in full: that since the
+   first one, up to RELEASE_DECAY_US. */
+static double
+release_window_us (const struct target_state *s)
+{
+  double age = (double)(s->released_at - s->released_since) / RELEASE_DECAY_US;
+
+  return RELEASE_DECAY_US * (1 - exp (-age));
+}
+
 /* With room for one connection or more, that many are kept.  With less, one is
    kept for a part of the time: as long as makes the host's average number of
    idle connections, its releases in a second times the seconds that each
@@ -147,7 +159,7 @@
   limit.count = part < 1 ? 1 : (size_t)part;
   limit.timeout_us = IDLE_TIMEOUT_MAX_US;
   if (part < 1)
-    limit.timeout_us = (int64_t)(part * RELEASE_DECAY_US / s->releases);
+    limit.timeout_us = (int64_t)(part * release_window_us (s) / s->releases);
   if (limit.timeout_us > IDLE_TIMEOUT_MAX_US)
     limit.timeout_us = IDLE_TIMEOUT_MAX_US;
   return limit;
