What hosts send to the control leader is bounded for any number of hosts

Cause: 200 hosts sent heartbeats each 0.3 s, token requests each 25 ms, and reports on all 140 teams each 0.9 s, or each 0.1 s after an election. A leader on 0.32 of a core handles some 2,000 messages a second (term 3: heartbeats=1901 token_requests=3351 in 2.5 s), so it lost its lead, and so did the next one. Requests that wait for their replies do not help: with 200 hosts, one request each is enough to keep a leader busy all the time.

A report contains the teams with an operation in the last 5 s or a share; one of 8 contains all. A team that is left out has no share at that host. For that a share whose lease ended must not come back with a later reply: a host took the lease of its old shares for renewed even when it had ended (found in reading; the leader may have leased them to others by then).

Ruled out: a faster decay of the demand; shares_random then refused operations within the rate (more than 1 in 1,000), so the decay is as it was.

Test: quota_requests (pace, silent teams, expired shares), shares_random (a team left out; the random schedules leave teams out as hosts do).

--- a/src/process/control_client.c
+++ b/src/process/control_client.c
@@ -11,6 +11,7 @@
 #include "leader.h"
 #include "log.h"
 #include "net.h"
+#include "pace.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -56,6 +57,7 @@
  * @redirected: the last heartbeat was sent where a reply pointed to
  * @hosts: known control hosts; messages are sent to the selected one
  * @directory: log index of the newest routing data received
+ * @live_hosts: number of hosts according to the leader, 0 if not known
  * @report: sent with each heartbeat, or NULL
  * @uses: uses of teams for the next heartbeat, or NULL
  * @announcements: instances for the next heartbeat
@@ -79,6 +81,7 @@
   struct control_hosts hosts;
   uint64_t version;
   uint64_t directory;
+  uint32_t live_hosts;
   char *document;
   Cfs__Peer *report;
   Cfs__Peer *uses;
@@ -113,7 +116,8 @@
     return HEARTBEAT_URGENT_US;
   if (c->report && c->report->heartbeat->n_suspects)
     return HEARTBEAT_SUSPECT_US;
-  return HEARTBEAT_US;
+  return c->settings->uses_seeds ? cfs_pace_heartbeat_us (c->live_hosts)
+                                 : HEARTBEAT_US;
 }
 
 static void
@@ -346,6 +350,8 @@
   record_reply (c, now);
   if (r->directory > c->directory)
     c->directory = r->directory;
+  if (r->live_hosts)
+    c->live_hosts = r->live_hosts;
   control_hosts_update (&c->hosts, r);
   r->lease_until_us = lease_end (c, r);
   r->document = c->version != old_version ? c->document : (char *)"";
--- a/src/process/front.c
+++ b/src/process/front.c
@@ -15,6 +15,7 @@
 #include "../../platform/readiness.h"
 #include "log.h"
 #include "leader.h"
+#include "pace.h"
 #include "thread_channel.h"
 #include "shares.h"
 #include "traffic.h"
@@ -25,11 +26,9 @@
 
 #define PART "front"
 #define TICK_US (4 * CFS_US_PER_MS)
-/* Interval of the reports of the teams' demand to the control leader. */
-#define DEMAND_INTERVAL_US (900 * CFS_US_PER_MS)
-/* Shorter interval while a team has demand here, but its share is not yet
-   settled. */
-#define DEMAND_URGENT_INTERVAL_US (100 * CFS_US_PER_MS)
+/* One of so many reports contains all teams: where there are few hosts, each
+   holds a share of every team before its first operation. */
+#define FULL_DEMAND_REPORTS 8
 /* Difference in rate allowed for between the clocks of two hosts. */
 #define CLOCK_DRIFT_PERCENT 5
 /* Maximum number of teams in one request for tokens. */
@@ -59,6 +58,7 @@
   struct readiness_server *readiness;
   struct cfs_thread_channel *channel;
   int64_t demand_sent_at;
+  unsigned demand_reports;
   uint64_t suspects_hash;
   bool draining;
   bool was_ready;
@@ -178,11 +178,12 @@
 
   apply_samples (f, r);
   cfs_fleet_update (&f->fleet, r);
+  f->quota.request_interval_us = cfs_pace_tokens_us (f->fleet.live_hosts);
   if (r->has_shares && f->fleet.catalog)
     cfs_quota_update (&f->quota, r->shares, r->n_shares, f->fleet.catalog,
                       until, cfs_now ());
   else
-    cfs_quota_renew (&f->quota, until);
+    cfs_quota_renew (&f->quota, until, cfs_now ());
 }
 
 static void
@@ -230,6 +231,8 @@
   return false;
 }
 
+/* Reports the demand for teams whose share here may have to change, and for
+   one team at least, because the reply tells whether shares are settled. */
 static void
 send_demand (struct cfs_front *f, int64_t now)
 {
@@ -237,12 +240,16 @@
   Cfs__Peer out = CFS__PEER__INIT;
   Cfs__Heartbeat h = CFS__HEARTBEAT__INIT;
   Cfs__TeamUse *entries;
-  int64_t interval = has_unsettled_demand (f) ? DEMAND_URGENT_INTERVAL_US
-                                              : DEMAND_INTERVAL_US;
+  bool full;
+  uint32_t hosts = f->fleet.live_hosts;
+  int64_t interval = has_unsettled_demand (f)
+                         ? cfs_pace_unsettled_demand_us (hosts)
+                         : cfs_pace_demand_us (hosts);
 
   if (!c || c->team_count == 0 || now - f->demand_sent_at < interval)
     return;
   f->demand_sent_at = now;
+  full = f->demand_reports++ % FULL_DEMAND_REPORTS == 0;
   entries = cfs_alloc (c->team_count * sizeof *entries);
   h.uses = cfs_alloc (c->team_count * sizeof *h.uses);
   for (size_t i = 0; i < c->team_count; i++)
@@ -250,6 +257,8 @@
       struct cfs_quota_team *q
           = cfs_table_add (&f->quota.teams, c->teams[i].name);
 
+      if (!full && h.n_uses > 0 && !cfs_quota_must_report (&f->quota, q, now))
+        continue;
       cfs__team_use__init (&entries[i]);
       entries[i].team = c->teams[i].name;
       entries[i].demand = cfs_quota_demand (q, now);
--- a/src/process/leader.c
+++ b/src/process/leader.c
@@ -175,7 +175,8 @@
 }
 
 /* Removes hosts and instances that were silent for long, and counts the live
-   hosts. */
+   hosts.  Until all hosts have reported to a new leader, those on record
+   count. */
 static void
 evict_expired (struct cfs_leader *l, int64_t now)
 {
@@ -188,6 +189,8 @@
       if (now - h->seen_at > HOST_EXPIRY_US)
         cfs_table_remove (&l->hosts, i - 1);
     }
+  if (!l->shares.complete && l->live_hosts < l->state->hosts.count)
+    l->live_hosts = (uint32_t)l->state->hosts.count;
   for (size_t i = l->instances.count; i > 0; i--)
     {
       const struct cfs_instance *in = cfs_table_at (&l->instances, i - 1);
--- a/src/process/leader_reply.c
+++ b/src/process/leader_reply.c
@@ -207,6 +207,7 @@
   reserve (&b->shares, &b->share_list, &b->share_cap, c->team_count,
            sizeof *b->shares);
   b->msg.has_shares = true;
+  cfs_shares_start_report (&l->shares);
   for (size_t i = 0; i < in->n_uses; i++)
     {
       const Cfs__TeamUse *use = in->uses[i];
@@ -225,6 +226,7 @@
       b->msg.n_shares++;
     }
   b->msg.shares = b->share_list;
+  cfs_shares_end_report (&l->shares, in->host);
 }
 
 const Cfs__TokensGrant *
--- /dev/null
+++ b/src/process/pace.h
@@ -0,0 +1,27 @@
+/**
+ * DOC: Intervals at which a host sends to the control leader.
+ *
+ * The load that they answer: all hosts send to one leader, which has a part of
+ * a processor.  The intervals grow with the number of hosts, so that the
+ * leader gets a bounded number of messages a second from any number of them.
+ */
+#ifndef CFS_PACE_H
+#define CFS_PACE_H
+
+#include "../cfs.h"
+
+/** cfs_pace_heartbeat_us() - interval of the heartbeats of a host that serves
+ * sessions; @hosts is 0 if the number of hosts is not known */
+int64_t cfs_pace_heartbeat_us (uint32_t hosts);
+
+/** cfs_pace_demand_us() - interval of the reports of the teams' demand */
+int64_t cfs_pace_demand_us (uint32_t hosts);
+
+/** cfs_pace_unsettled_demand_us() - the same while a team has demand, but its
+ * share is not yet settled */
+int64_t cfs_pace_unsettled_demand_us (uint32_t hosts);
+
+/** cfs_pace_tokens_us() - minimum time between two token requests */
+int64_t cfs_pace_tokens_us (uint32_t hosts);
+
+#endif
--- a/src/process/shares.c
+++ b/src/process/shares.c
@@ -44,6 +44,7 @@
  * @weight: demand with headroom, plus the base weight
  * @confirmed: share that the host reported
  * @assigned: share sent to the host last
+ * @report: number of the last report that contained the team
  */
 struct host_share
 {
@@ -51,6 +52,7 @@
   double weight;
   double confirmed;
   double assigned;
+  uint64_t report;
 };
 
 /**
@@ -93,6 +95,7 @@
   s->accurate_from = 0;
   s->idle_since = 0;
   s->complete = false;
+  s->report = 0;
 }
 
 void
@@ -344,11 +347,36 @@
   count_share (t, mine, -1);
   mine->confirmed = confirmed;
   mine->assigned = fmin (desired_share (t, mine, now), room);
+  mine->report = s->report;
   count_share (t, mine, 1);
   extend_lease (s, host, until);
   return mine->assigned;
 }
 
+void
+cfs_shares_start_report (struct cfs_shares *s)
+{
+  s->report++;
+}
+
+void
+cfs_shares_end_report (struct cfs_shares *s, const char *host)
+{
+  for (size_t i = 0; i < s->teams.count; i++)
+    {
+      struct team_state *t = cfs_table_at (&s->teams, i);
+      struct host_share *h = cfs_table_find (&t->hosts, host);
+
+      if (!h || h->report == s->report)
+        continue;
+      set_weight (t, h, t->rate * BASE_FRACTION);
+      count_share (t, h, -1);
+      h->confirmed = 0;
+      h->assigned = 0;
+      count_share (t, h, 1);
+    }
+}
+
 uint32_t
 cfs_shares_grant (struct cfs_shares *s, const char *team, double rate,
                   double burst, uint32_t count, int64_t now)
--- a/src/process/shares.h
+++ b/src/process/shares.h
@@ -36,6 +36,7 @@
  * @accurate_from: when all buckets have had time to refill
  * @idle_since: as passed to cfs_shares_end_grace()
  * @complete: every host has reported its shares to this leader
+ * @report: number of the report being handled
  */
 struct cfs_shares
 {
@@ -46,6 +47,7 @@
   int64_t accurate_from;
   int64_t idle_since;
   bool complete;
+  uint64_t report;
 };
 
 /** cfs_shares_init() - starts without teams */
@@ -92,6 +94,18 @@
                           double demand, double confirmed, int64_t now,
                           int64_t until);
 
+/**
+ * cfs_shares_start_report() - begins a report of a host on the teams, each of
+ * which is passed to cfs_shares_assign()
+ */
+void cfs_shares_start_report (struct cfs_shares *shares);
+
+/**
+ * cfs_shares_end_report() - ends it: the host holds no share of a team that
+ * was not passed since cfs_shares_start_report(), and has no demand for it
+ */
+void cfs_shares_end_report (struct cfs_shares *shares, const char *host);
+
 /**
  * cfs_shares_grant() - takes tokens from a team's bucket
  * @count: number of tokens requested
--- a/src/request/quota.c
+++ b/src/request/quota.c
@@ -11,6 +11,7 @@
  */
 #include "quota.h"
 
+#include "../process/pace.h"
 #include "../process/shares.h"
 
 #include <string.h>
@@ -19,10 +20,10 @@
 #define DEMAND_SPAN_US (500 * CFS_US_PER_MS)
 /* Fraction of the difference by which the demand decays per span. */
 #define DEMAND_DECAY 0.2
+/* A team without an operation for this time needs no share. */
+#define DEMAND_END_US (5 * CFS_US_PER_S)
 /* Tokens are prefetched for the demand expected within this time. */
 #define PREFETCH_US (200 * CFS_US_PER_MS)
-/* Minimum time between two token requests of a host. */
-#define REQUEST_INTERVAL_US (25 * CFS_US_PER_MS)
 /* Time after which a token request without a reply counts as lost; doubles
    with each loss up to the maximum. */
 #define REPLY_TIMEOUT_US (120 * CFS_US_PER_MS)
@@ -46,6 +47,7 @@
   q->request_sent_at = 0;
   q->next_request_at = 0;
   q->reply_timeout_us = REPLY_TIMEOUT_US;
+  q->request_interval_us = cfs_pace_tokens_us (0);
   q->next_team = 0;
 }
 
@@ -79,7 +81,6 @@
            const struct cfs_team_limits *team, int64_t now)
 {
   refill (t, now);
-  t->authoritative = in && in->known;
   t->share = 0;
   t->capacity = 0;
   if (in && team && team->rate > 0 && in->share > 0)
@@ -97,21 +98,34 @@
                   size_t count, const struct cfs_catalog *catalog,
                   int64_t until, int64_t now)
 {
+  bool all_known = count > 0;
+
+  for (size_t i = 0; i < count; i++)
+    all_known = all_known && shares[i]->known;
   for (size_t i = 0; i < count; i++)
     cfs_table_add (&q->teams, shares[i]->team);
   for (size_t i = 0; i < q->teams.count; i++)
     {
       struct cfs_quota_team *t = cfs_table_at (&q->teams, i);
 
+      t->authoritative = all_known;
       set_share (t, find_share (shares, count, t->team),
                  cfs_catalog_team (catalog, t->team), now);
     }
-  cfs_quota_renew (q, until);
+  if (until > q->until)
+    q->until = until;
 }
 
 void
-cfs_quota_renew (struct cfs_quota *q, int64_t until)
+cfs_quota_renew (struct cfs_quota *q, int64_t until, int64_t now)
 {
+  for (size_t i = 0; now >= q->until && i < q->teams.count; i++)
+    {
+      struct cfs_quota_team *t = cfs_table_at (&q->teams, i);
+
+      t->share = 0;
+      t->capacity = 0;
+    }
   if (until > q->until)
     q->until = until;
 }
@@ -238,7 +252,7 @@
   if (q->request_sent_at != sent_at)
     return;
   q->request_sent_at = 0;
-  q->next_request_at = sent_at + REQUEST_INTERVAL_US;
+  q->next_request_at = sent_at + q->request_interval_us;
 }
 
 static uint32_t
@@ -302,6 +316,14 @@
   t->next_grant = (t->next_grant + 1) % QUOTA_GRANTS_MAX;
 }
 
+bool
+cfs_quota_must_report (const struct cfs_quota *q,
+                       const struct cfs_quota_team *t, int64_t now)
+{
+  return (now < q->until && t->share > 0)
+         || (t->counted_at && now - t->counted_at < DEMAND_END_US);
+}
+
 double
 cfs_quota_demand (const struct cfs_quota_team *team, int64_t now)
 {
--- a/src/request/quota.h
+++ b/src/request/quota.h
@@ -66,6 +66,7 @@
  * this host
  * @request_sent_at: time of the token request that has no reply yet, or 0
  * @next_request_at: earliest time of the next token request
+ * @request_interval_us: minimum time between two token requests
  * @reply_timeout_us: time after which a request without a reply counts as lost
  * @next_team: index of the team with which the next token request begins
  *
@@ -78,6 +79,7 @@
   int64_t used_at;
   int64_t request_sent_at;
   int64_t next_request_at;
+  int64_t request_interval_us;
   int64_t reply_timeout_us;
   size_t next_team;
 };
@@ -90,7 +92,7 @@
 
 /**
  * cfs_quota_update() - applies the shares in a reply of the control leader
- * @shares: shares; a team that is missing has a share of 0
+ * @shares: shares, one at least; a team that is missing has a share of 0
  * @catalog: rates and bursts in force
  * @until: end of the lease that covers the shares
  */
@@ -98,8 +100,10 @@
                        size_t count, const struct cfs_catalog *catalog,
                        int64_t until, int64_t now);
 
-/** cfs_quota_renew() - extends the lease on the present shares to @until */
-void cfs_quota_renew (struct cfs_quota *quota, int64_t until);
+/** cfs_quota_renew() - extends the lease on the present shares to @until;
+ * shares whose lease has ended are lost, because the leader may have leased
+ * them to other hosts */
+void cfs_quota_renew (struct cfs_quota *quota, int64_t until, int64_t now);
 
 /** cfs_quota_count_demand() - counts an operation in the demand of a team */
 void cfs_quota_count_demand (struct cfs_quota *quota, const char *team,
@@ -177,6 +181,13 @@
 void cfs_quota_add_tokens (struct cfs_quota *quota, const char *team,
                            const struct cfs_quota_token_reply *reply);
 
+/**
+ * cfs_quota_must_report() - whether a report of the demand must contain a
+ * team, because this host holds a share of it or needs one
+ */
+bool cfs_quota_must_report (const struct cfs_quota *quota,
+                            const struct cfs_quota_team *team, int64_t now);
+
 /**
  * cfs_quota_demand() - demand of a team at this host, operations per second
  *
--- a/tests/unit/quota_requests.c
+++ b/tests/unit/quota_requests.c
@@ -3,6 +3,8 @@
  * leader that replies at once, late or never: the host must not send faster
  * than its requests are replied to.
  */
+#include "../../src/process/leader.h"
+#include "../../src/process/pace.h"
 #include "../../src/request/quota.h"
 
 #include <glib.h>
@@ -183,6 +185,71 @@
   assert_true (least * 2 >= equal_part);
 }
 
+/* A team that has fallen silent needs no share and no place in reports. */
+static void
+a_silent_team_is_not_reported (void **state)
+{
+  struct cfs_quota q;
+  const struct cfs_quota_team *t;
+
+  (void)state;
+  cfs_quota_init (&q, CFS_US_PER_S);
+  for (int i = 0; i < 10; i++)
+    cfs_quota_count_demand (&q, "team", CFS_US_PER_S + i * CFS_US_PER_S / 10);
+  t = cfs_table_find (&q.teams, "team");
+  assert_true (cfs_quota_must_report (&q, t, 2 * CFS_US_PER_S));
+  assert_false (cfs_quota_must_report (&q, t, 20 * CFS_US_PER_S));
+  cfs_quota_end (&q);
+}
+
+/* The leader may have leased an expired share to another host. */
+static void
+an_expired_share_is_not_renewed (void **state)
+{
+  struct cfs_quota q;
+  struct cfs_quota_team *t;
+  int64_t until = 2 * CFS_US_PER_S;
+  int64_t wait;
+
+  (void)state;
+  cfs_quota_init (&q, CFS_US_PER_S);
+  t = cfs_table_add (&q.teams, "team");
+  t->share = 100;
+  t->capacity = 100;
+  cfs_quota_renew (&q, until, 0);
+  t->share = 100;
+  t->capacity = 100;
+  cfs_quota_renew (&q, until + CFS_US_PER_S, until - 1);
+  assert_true (cfs_quota_take (&q, "team", until, &wait));
+  cfs_quota_renew (&q, until + 3 * CFS_US_PER_S, until + CFS_US_PER_S);
+  assert_false (cfs_quota_take (&q, "team", until + 2 * CFS_US_PER_S, &wait));
+  cfs_quota_end (&q);
+}
+
+/* Messages a second that a leader gets from all hosts together, of one kind
+   with the given interval. */
+static double
+messages_per_s (uint32_t hosts, int64_t interval_us)
+{
+  return (double)hosts * CFS_US_PER_S / (double)interval_us;
+}
+
+/* A leader of 400 hosts gets at most twice the messages of one of 100, and
+   others still hear from a host in time. */
+static void
+the_load_of_the_leader_does_not_grow_with_the_hosts (void **state)
+{
+  static int64_t (*const pace[]) (uint32_t)
+      = { cfs_pace_heartbeat_us, cfs_pace_demand_us,
+          cfs_pace_unsettled_demand_us, cfs_pace_tokens_us };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof pace / sizeof pace[0]; i++)
+    assert_true (messages_per_s (400, pace[i](400))
+                 <= 2 * messages_per_s (100, pace[i](100)));
+  assert_true (cfs_pace_heartbeat_us (400) < HOST_FRESH_US);
+}
+
 int
 main (void)
 {
@@ -190,7 +257,10 @@
     cmocka_unit_test (requests_to_a_fast_leader_have_a_bounded_rate),
     cmocka_unit_test (a_slow_leader_is_not_sent_a_request_before_its_reply),
     cmocka_unit_test (a_silent_leader_is_sent_fewer_requests),
-    cmocka_unit_test (teams_that_do_not_fit_take_turns)
+    cmocka_unit_test (teams_that_do_not_fit_take_turns),
+    cmocka_unit_test (a_silent_team_is_not_reported),
+    cmocka_unit_test (an_expired_share_is_not_renewed),
+    cmocka_unit_test (the_load_of_the_leader_does_not_grow_with_the_hosts)
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/unit/shares_random.c
+++ b/tests/unit/shares_random.c
@@ -24,6 +24,8 @@
 #define RUN_US (25 * CFS_US_PER_S)
 #define ADMITTED_MAX 16384
 #define WAITING_MAX 64
+/* One of so many reports contains the team even without demand. */
+#define FULL_REPORTS 8
 /* Maximum number of token replies on their way to one host. */
 #define TOKEN_REPLIES_MAX 16
 /* Minimum fraction of its rate that a team with a higher demand must get. */
@@ -70,6 +72,7 @@
   size_t next_token_reply;
   double load;
   bool reported;
+  unsigned reports;
   int64_t idle_since;
   int64_t waiting[WAITING_MAX];
   size_t waiting_count;
@@ -137,11 +140,29 @@
   cfs_shares_end_grace (&w->shares, idle_since, w->now);
 }
 
+/* Reports the demand, without the team if the host neither has nor needs a
+   share of it.  Returns the share in the reply. */
+static double
+report_demand (struct world *w, struct host *h,
+               const struct cfs_quota_team *team, double confirmed)
+{
+  const struct cfs_team_limits *t = &w->catalog->teams[0];
+  double share = 0;
+
+  cfs_shares_start_report (&w->shares);
+  if (h->reports++ % FULL_REPORTS == 0
+      || cfs_quota_must_report (&h->quota, team, w->now))
+    share = cfs_shares_assign (&w->shares, TEAM, t->rate, t->burst, h->name,
+                               cfs_quota_demand (team, w->now), confirmed,
+                               w->now, w->now + SHARE_EXPIRY_US);
+  cfs_shares_end_report (&w->shares, h->name);
+  return share;
+}
+
 static void
 send_heartbeat (struct world *w, struct host *h)
 {
-  const struct cfs_team_limits *t = &w->catalog->teams[0];
-  struct cfs_quota_team *team = cfs_table_add (&h->quota.teams, TEAM);
+  const struct cfs_quota_team *team = cfs_table_add (&h->quota.teams, TEAM);
   double confirmed = w->now < h->quota.until ? team->share : 0;
 
   h->next_heartbeat_at = w->now + HEARTBEAT_US;
@@ -150,10 +171,7 @@
   if (!h->reported)
     h->idle_since = confirmed > 0 ? w->now : h->quota.used_at;
   h->reported = true;
-  h->share_reply.share
-      = cfs_shares_assign (&w->shares, TEAM, t->rate, t->burst, h->name,
-                           cfs_quota_demand (team, w->now), confirmed, w->now,
-                           w->now + SHARE_EXPIRY_US);
+  h->share_reply.share = report_demand (w, h, team, confirmed);
   h->share_reply.authoritative = cfs_shares_is_accurate (&w->shares, w->now);
   h->share_reply.in_flight = w->reliable || random_below (w, 10) > 0;
   h->share_reply.sent_at = w->now;
@@ -593,11 +611,34 @@
   cfs_shares_end (&shares);
 }
 
+/* Share of a second host while the first one, which held all there was, sends
+   a report without the team. */
+static void
+a_team_that_is_not_reported_returns_its_share (void **state)
+{
+  struct cfs_shares shares;
+  int64_t now = CFS_US_PER_S;
+  double first;
+
+  (void)state;
+  cfs_shares_init (&shares);
+  first = cfs_shares_assign (&shares, TEAM, 100, 100, "h1", 100, 0, now,
+                             now + SHARE_EXPIRY_US);
+  assert_true (first > 0);
+  cfs_shares_start_report (&shares);
+  cfs_shares_end_report (&shares, "h1");
+  assert_true (cfs_shares_assign (&shares, TEAM, 100, 100, "h2", 100, 0, now,
+                                  now + SHARE_EXPIRY_US)
+               >= 0.9 * first);
+  cfs_shares_end (&shares);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (a_share_returns_once_its_lease_has_ended),
+          cmocka_unit_test (a_team_that_is_not_reported_returns_its_share),
           cmocka_unit_test (the_cost_of_a_report_does_not_grow_with_the_hosts),
           cmocka_unit_test (a_team_within_its_rate_is_served),
           cmocka_unit_test (an_overloaded_team_gets_its_rate),
--- a/tests/world/sessions.c
+++ b/tests/world/sessions.c
@@ -758,7 +758,7 @@
   replicate (w);
   update_directory (w);
   w->fleet.lease_until = w->now + CFS_US_PER_S;
-  cfs_quota_renew (&w->quota, w->now + CFS_US_PER_S);
+  cfs_quota_renew (&w->quota, w->now + CFS_US_PER_S, w->now);
   for (struct ws_conn *conn = w->conns; conn; conn = conn->next)
     if (!conn->dead)
       step_conn (w, conn);
