--- a/src/request/gate_conn.c
+++ b/src/request/gate_conn.c
@@ -92,3 +92,49 @@
     gate_conn_open (g, inst, now);
   return c;
 }
+
+void
+gate_send_probes (struct cfs_gate *g, int64_t now)
+{
+  int primary = gate_primary (g);
+
+  for (unsigned i = 0; i < g->inst_count; i++)
+    {
+      struct gate_instance *in = &g->inst[i];
+      bool fast = g->phase > PHASE_SERVING
+                  || (g->pending_ack_count && (int)i != primary);
+      int64_t every = fast ? g->tuning.probe_fast_interval_us
+                           : g->tuning.probe_interval_us;
+
+      if (now - in->last_probe_sent_at < every)
+        continue;
+      in->last_probe_sent_at = now;
+      g->ops->probe (g->ctx, i);
+    }
+}
+
+void
+gate_check_conns (struct cfs_gate *g, int64_t now)
+{
+  for (unsigned c = 0; c < g->conn_used; c++)
+    {
+      const struct gate_conn *conn = &g->conn[c];
+
+      if (conn->state == CONN_BUSY && now >= conn->request->deadline)
+        gate_abort_conn (g, c, now);
+      else if (conn->state == CONN_PINNED
+               && now - conn->idle_since > g->tuning.transaction_timeout_us)
+        gate_conn_close (g, c);
+      else if (conn->state == CONN_IDLE && g->inst[conn->inst].leaving)
+        gate_conn_close (g, c);
+    }
+}
+
+/* Opens connections in advance, as many as an instance has slots. */
+void
+gate_warm_conns (struct cfs_gate *g, int64_t now)
+{
+  for (unsigned i = 0; i < g->inst_count; i++)
+    if (!g->inst[i].leaving && g->inst[i].open_conns < g->inst[i].slots)
+      gate_conn_open (g, i, now);
+}
--- a/src/request/gate_int.h
+++ b/src/request/gate_int.h
@@ -278,6 +278,30 @@
 /** gate_conn_close() - closes a connection, whatever its state */
 void gate_conn_close (struct cfs_gate *gate, unsigned conn);
 
+/** gate_send_probes() - probes the instances whose next probe is due */
+void gate_send_probes (struct cfs_gate *gate, int64_t now);
+
+/** gate_check_conns() - ends work past its deadline and connections that are
+ * pinned for too long or idle at a leaving instance */
+void gate_check_conns (struct cfs_gate *gate, int64_t now);
+
+/** gate_warm_conns() - opens connections in advance */
+void gate_warm_conns (struct cfs_gate *gate, int64_t now);
+
+/** gate_request_lane() - the queue of a request */
+enum cfs_lane gate_request_lane (const struct cfs_request *request);
+
+/** gate_end_work() - completes the work on a connection */
+void gate_end_work (struct cfs_gate *gate, unsigned conn,
+                    const struct cfs_work_result *result, int64_t now);
+
+/** gate_abort_conn() - closes a connection; work in progress ends with
+ * WORK_STATUS_UNKNOWN */
+void gate_abort_conn (struct cfs_gate *gate, unsigned conn, int64_t now);
+
+/** gate_abort_all_conns() - the same for all connections in use */
+void gate_abort_all_conns (struct cfs_gate *gate, int64_t now);
+
 /**
  * gate_wait_for_majority() - delays the reply to a committed write until a
  * majority of the instances have it
