A holder that reports first while its gate moves gets no lease

What callers could see (project's own interface): two hosts hold the gate of a group for some milliseconds after a change of control leader, so statements of one group could be sent by two hosts.

Cause: a new leader moves a gate whose holder it has not heard from, 1.6 s after its election. It marks the old holder as one not to be renewed only if it knows it. A holder whose first heartbeat arrived between the proposal and its application was taken for a host that holds nothing new and was renewed.

Change: a host that reports for the first time and holds a resource by the applied state is not renewed until the pending assignments are applied.

Test: leader, no_lease_for_a_holder_that_reports_first_while_its_gate_moves (red before); mutant unknown-holder-renewed is red.

--- a/src/process/leader.c
+++ b/src/process/leader.c
@@ -259,11 +259,28 @@
       h->idle_since = now;
 }
 
+static bool
+holds_a_resource (const struct cfs_leader *l, const char *host)
+{
+  for (size_t i = 0; i < l->state->leases.count; i++)
+    {
+      const struct cfs_lease *lease = cfs_table_at (&l->state->leases, i);
+
+      if (strcmp (lease->holder, host) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* A holder that reports for the first time may be one that a resource is being
+   taken from: the leader did not know it when it proposed that. */
 static struct cfs_host *
 update_host (struct cfs_leader *l, const Cfs__Heartbeat *in, int64_t now)
 {
   struct cfs_host *h = cfs_table_add (&l->hosts, in->host);
 
+  if (!h->seen_at && holds_a_resource (l, in->host))
+    h->reassigned_index = l->assign_index;
   if (h->boot != in->boot)
     {
       if (h->lease_end > h->old_boot_lease_end)
--- a/tests/unit/leader.c
+++ b/tests/unit/leader.c
@@ -147,6 +147,29 @@
   free_fixture (f);
 }
 
+/* The holder has not reported to a new leader when that moves its gate. */
+static void
+no_lease_for_a_holder_that_reports_first_while_its_gate_moves (void **state)
+{
+  struct fixture *f = new_fixture ();
+
+  (void)state;
+  cfs_leader_tick (f->leader, false, f->applied, f->now);
+  tick (f);
+  for (int i = 0; i < 30 && f->index == f->applied; i++)
+    {
+      send_heartbeat (f, "h2", false, 0);
+      tick (f);
+    }
+  assert_true (f->index > f->applied);
+  assert_false (send_heartbeat (f, "h1", false, 0)->granted);
+  apply (f);
+  tick (f);
+  assert_true (send_heartbeat (f, "h1", false, 0)->granted);
+  assert_string_equal (gate_lease (f)->holder, "h2");
+  free_fixture (f);
+}
+
 static void
 a_released_gate_is_reassigned_immediately (void **state)
 {
@@ -204,6 +227,8 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (no_lease_renewal_while_a_move_is_uncommitted),
+    cmocka_unit_test (
+        no_lease_for_a_holder_that_reports_first_while_its_gate_moves),
     cmocka_unit_test (a_released_gate_is_reassigned_immediately),
     cmocka_unit_test (a_release_of_another_host_or_epoch_is_ignored),
     cmocka_unit_test (a_gate_moves_only_after_the_lease_ended_by_a_slow_clock)
