A holder that is not renewed on its first report keeps its former lease

Change: such a host counts as leased until the end of the new leader's grace time, as hosts do that have not reported at all.

Test: leader, a_gate_stays_while_a_lease_of_the_former_leader_runs (red before); mutant unknown-holder-without-lease is red.

--- a/src/process/leader.c
+++ b/src/process/leader.c
@@ -273,14 +273,20 @@
 }
 
 /* A holder that reports for the first time may be one that a resource is being
-   taken from: the leader did not know it when it proposed that. */
+   taken from: the leader did not know it when it proposed that.  Its lease may
+   be one of an earlier leader. */
+static void
+record_unknown_holder (const struct cfs_leader *l, struct cfs_host *h)
+{
+  h->reassigned_index = l->assign_index;
+  h->lease_end = l->grace_end;
+}
+
 static struct cfs_host *
 update_host (struct cfs_leader *l, const Cfs__Heartbeat *in, int64_t now)
 {
   struct cfs_host *h = cfs_table_add (&l->hosts, in->host);
 
-  if (!h->seen_at && holds_a_resource (l, in->host))
-    h->reassigned_index = l->assign_index;
   if (h->boot != in->boot)
     {
       if (h->lease_end > h->old_boot_lease_end)
@@ -290,6 +296,8 @@
       h->lease_end = 0;
       h->boot = in->boot;
     }
+  if (!h->seen_at && holds_a_resource (l, in->host))
+    record_unknown_holder (l, h);
   cfs_copy (h->zone, sizeof h->zone, in->zone);
   cfs_copy (h->address, sizeof h->address, in->address);
   h->port = in->port;
--- a/tests/unit/leader.c
+++ b/tests/unit/leader.c
@@ -64,8 +64,8 @@
 }
 
 static const Cfs__HeartbeatReply *
-send_heartbeat (struct fixture *f, const char *host, bool draining,
-                uint64_t released)
+send_heartbeat_with (struct fixture *f, const char *host, const char *group,
+                     bool draining, uint64_t released)
 {
   Cfs__Heartbeat h = CFS__HEARTBEAT__INIT;
   Cfs__Instance in = CFS__INSTANCE__INIT;
@@ -76,8 +76,8 @@
   h.host = (char *)host;
   h.boot = (uint64_t)host[1];
   h.draining = draining;
-  in.name = "t1";
-  in.group = "orders";
+  in.name = (char *)group;
+  in.group = (char *)group;
   in.primary = true;
   in.term = 1;
   h.instances = instances;
@@ -89,6 +89,13 @@
   return cfs_leader_heartbeat (f->leader, &h, f->now);
 }
 
+static const Cfs__HeartbeatReply *
+send_heartbeat (struct fixture *f, const char *host, bool draining,
+                uint64_t released)
+{
+  return send_heartbeat_with (f, host, "orders", draining, released);
+}
+
 static const struct cfs_lease *
 gate_lease (const struct fixture *f)
 {
@@ -170,6 +177,33 @@
   free_fixture (f);
 }
 
+/* A holder that reports first while another gate is assigned is not renewed,
+   but keeps the lease that it has from the former leader. */
+static void
+a_gate_stays_while_a_lease_of_the_former_leader_runs (void **state)
+{
+  struct fixture *f = new_fixture ();
+
+  (void)state;
+  cfs_leader_tick (f->leader, false, f->applied, f->now);
+  tick (f);
+  for (int i = 0; i < 10 && !cfs_table_find (&f->state.groups, "stock"); i++)
+    {
+      apply (f);
+      send_heartbeat_with (f, "h2", "stock", false, 0);
+      tick (f);
+    }
+  tick (f);
+  assert_true (f->index > f->applied);
+  send_heartbeat (f, "h1", false, 0);
+  apply (f);
+  tick (f);
+  assert_non_null (cfs_table_find (&f->state.leases, "gate/stock"));
+  apply (f);
+  assert_string_equal (gate_lease (f)->holder, "h1");
+  free_fixture (f);
+}
+
 static void
 a_released_gate_is_reassigned_immediately (void **state)
 {
@@ -229,6 +263,7 @@
     cmocka_unit_test (no_lease_renewal_while_a_move_is_uncommitted),
     cmocka_unit_test (
         no_lease_for_a_holder_that_reports_first_while_its_gate_moves),
+    cmocka_unit_test (a_gate_stays_while_a_lease_of_the_former_leader_runs),
     cmocka_unit_test (a_released_gate_is_reassigned_immediately),
     cmocka_unit_test (a_release_of_another_host_or_epoch_is_ignored),
     cmocka_unit_test (a_gate_moves_only_after_the_lease_ended_by_a_slow_clock)
