A leader that restarts with its group is elected at once

Cause: a voter grants no vote for 0.5 s after its start, because it may have followed a leader just before, and the first candidate waits for 0.5 to 1 s. The voter does not know whom it followed: it stored its vote, which may have been for a candidate that lost.

Change: a voter stores the leader that it follows as its vote of the term, before it answers the first append. A vote request of that member proves that its lead has ended, so it is granted at once; all others wait as before. A member that finds itself in its vote file asks after 20 ms. No further write where the leader is the one that was voted for or the term is new.

Ruled out: a shorter election timeout (the lead of a slow leader rests on it); storing the time (the clock of a machine without power is not known). A voter that voted for the loser and cannot store the winner does not follow it: after a restart it would take the loser for its leader.

--- a/src/process/raft.c
+++ b/src/process/raft.c
@@ -7,8 +7,9 @@
  * Leader leases: an append carries the leader's send time, and the reply
  * echoes it, so the leader knows up to which of its own times a majority has
  * followed it.  A voter that heard from a leader within RAFT_ELECTION_US
- * grants no vote; a restart counts as hearing from one.  Until that time plus
- * RAFT_ELECTION_US, less clock drift, there is therefore no second leader.
+ * grants no vote to another; a restart counts as hearing from one.  Until that
+ * time plus RAFT_ELECTION_US, less clock drift, there is therefore no second
+ * leader.
  * The leases of the hosts rely on this.
  */
 #include "raft_int.h"
@@ -226,6 +227,8 @@
   r->heard_at = now;
   raft_restore_members (r);
   raft_become_follower (r, 0, now);
+  if (r->term && r->vote == r->id)
+    r->election_due_at = now + RAFT_REELECTION_US;
   if (r->snapshot.len)
     ops->restore (ctx, r->snapshot.data, r->snapshot.len);
   return r;
--- a/src/process/raft.h
+++ b/src/process/raft.h
@@ -18,8 +18,11 @@
 /* Heartbeat interval of the leader. */
 #define RAFT_HEARTBEAT_US (100 * CFS_US_PER_MS)
 /* Minimum election timeout: a voter that heard from a leader less than this
-   long ago grants neither a pre-vote nor a vote. */
+   long ago grants neither a pre-vote nor a vote to another. */
 #define RAFT_ELECTION_US (500 * CFS_US_PER_MS)
+/* A restarted voter that may have been the leader starts a pre-vote after this
+   time. */
+#define RAFT_REELECTION_US (20 * CFS_US_PER_MS)
 /* Minimum time between two pre-vote rounds of a candidate. */
 #define RAFT_RETRY_US (150 * CFS_US_PER_MS)
 /* Difference in rate allowed for between two monotonic clocks, in percent. */
@@ -148,7 +151,8 @@
  * under a new id
  * @id: identity of this member
  * @term: current term
- * @vote: id of the candidate voted for in @term, or 0
+ * @vote: id of the candidate voted for in @term, or of the leader followed in
+ * it, or 0
  * @snapshot: last snapshot; holds the first members if the log is new
  * @entries: log entries after the snapshot
  * @count: their number
--- a/src/process/raft_follow.c
+++ b/src/process/raft_follow.c
@@ -21,6 +21,19 @@
   r->ops->send (r->ctx, m->host, &reply);
 }
 
+/* Stores the leader of a term as this voter's vote, which elections rely on
+   after a restart.  The vote for another candidate of the term may be
+   overwritten, since that one has lost.  Without a vote in the term, a failure
+   to store does no harm. */
+static bool
+store_leader (struct cfs_raft *r, uint64_t term, uint64_t leader)
+{
+  if (term == r->term && r->vote == leader)
+    return true;
+  return raft_set_term (r, term, leader) == CFS_OK
+         || (term == r->term && r->vote == 0);
+}
+
 /* Takes the sender as leader of its term.  False if the term is out of date
    or cannot be stored. */
 static bool
@@ -31,7 +44,7 @@
       reply_append (r, m, true, 0);
       return false;
     }
-  if (m->term > r->term && raft_set_term (r, m->term, 0) != CFS_OK)
+  if (!store_leader (r, m->term, m->from))
     return false;
   raft_become_follower (r, m->from, now);
   r->heard_at = now;
--- a/src/process/raft_vote.c
+++ b/src/process/raft_vote.c
@@ -2,7 +2,9 @@
  * Elections.  A pre-vote round precedes each election: a voter increments its
  * term only if a majority would vote for it, so that a voter which was
  * partitioned away does not depose the leader when it returns.  A voter that
- * heard from a leader within RAFT_ELECTION_US grants no vote.
+ * heard from a leader within RAFT_ELECTION_US grants no vote, except to that
+ * leader itself: it asks for votes only after its lead has ended.  A leader
+ * whose whole group restarts thus leads again without an election timeout.
  */
 #include "raft_int.h"
 
@@ -79,10 +81,15 @@
   return m->index >= raft_last_index (r);
 }
 
+/* Whether a leader other than @candidate may still rely on this voter.  The
+   stored vote names the leader that this voter follows in its term: it is set
+   before the first append of a leader is answered. */
 static bool
-heard_leader_recently (const struct cfs_raft *r, int64_t now)
+may_follow_other (const struct cfs_raft *r, uint64_t candidate, int64_t now)
 {
-  return r->role == RAFT_LEADER || now - r->heard_at < RAFT_ELECTION_US;
+  if (r->role == RAFT_LEADER)
+    return true;
+  return r->vote != candidate && now - r->heard_at < RAFT_ELECTION_US;
 }
 
 void
@@ -91,7 +98,7 @@
   Cfs__RaftMsg reply;
 
   raft_init_msg (r, &reply, MSG_PREVOTE_REPLY, m->from);
-  reply.reject = heard_leader_recently (r, now) || m->term <= r->term
+  reply.reject = may_follow_other (r, m->from, now) || m->term <= r->term
                  || !candidate_log_is_current (r, m);
   reply.term = reply.reject ? r->term : m->term;
   r->ops->send (r->ctx, m->host, &reply);
@@ -103,7 +110,7 @@
   Cfs__RaftMsg reply;
   bool grant;
 
-  if (heard_leader_recently (r, now))
+  if (may_follow_other (r, m->from, now))
     return;
   if (m->term > r->term && raft_set_term (r, m->term, 0) == CFS_OK)
     raft_become_follower (r, 0, now);
