Hosts reach a control host soon after it has come up

Cause: a machine without power does not answer a connection attempt at all. An attempt was given up only after 1 s, and the kernel repeats its first packet after 1 s as well, so a host that started 0.1 s before the control hosts reached them a second later. With the heartbeats logged: 41 sends in 1.06 s refused for want of a connection, then the first redirect, and 0.2 s more for the connection to the leader.

Change: an attempt ends after 0.2 s, several round trips between regions, and is repeated with the pauses that there were. Up to 1,024 connections wait to be accepted (libzmq: 100), since 200 hosts connect at one moment.

Ruled out: lost or late replies (none in the log; each heartbeat that was sent was answered within 30 ms).

--- a/src/process/net.c
+++ b/src/process/net.c
@@ -28,11 +28,16 @@
 #define REQUESTS_AT_ONCE 8
 #define HEARTBEAT_MS 500
 #define HEARTBEAT_TIMEOUT_MS 1500
-#define CONNECT_TIMEOUT_MS 1000
+/* Several round trips between regions.  A machine without power does not
+   answer at all; it is tried again soon, since it may come back. */
+#define CONNECT_TIMEOUT_MS 200
 #define TCP_TIMEOUT_MS 2000
 #define HANDSHAKE_TIMEOUT_MS 2000
 #define RECONNECT_MS 50
 #define RECONNECT_MAX_MS 500
+/* Connections that may wait to be accepted, as when all hosts connect to a
+   control host at the same moment. */
+#define ACCEPT_BACKLOG 1024
 #define ENDPOINT_MAX 96
 #define ZAP_ENDPOINT "inproc://zeromq.zap.01"
 #define ZAP_STOP_ENDPOINT "inproc://coltsfootstage-guard-stop"
@@ -103,6 +108,7 @@
     return true;
   n->router = zmq_socket (n->setup.zmq, ZMQ_ROUTER);
   set_common_options (n->router);
+  set_int (n->router, ZMQ_BACKLOG, ACCEPT_BACKLOG);
   if (*n->setup.public_key)
     {
       set_int (n->router, ZMQ_CURVE_SERVER, 1);
