Late replies of a busy control leader are accepted

Callers saw: after a moment at which all hosts of a large fleet ask the leader at once, half of them served nothing for a second longer than the others.

Cause: a host waits for a reply for 0.15 to 0.3 s, then asks another control host, which names the leader, and asks the leader again. A reply that came after that was dropped because it did not belong to the last heartbeat. A leader that needs 0.5 s for 200 first heartbeats thus worked in vain: each host got the whole document (39 kB) up to four times before it took one.

Change: a host remembers its last 16 heartbeats (sent_heartbeats.c). A late reply of the leader counts, with its lease from when that heartbeat was sent, unless a newer one was accepted. Shares in it are not taken over if the demand was reported again since: a new leader may rely on that report. Denials count only in time.

Ruled out: losses and connections (each heartbeat has its reply in the log, up to 0.5 s late); a longer wait alone, since it delays finding a new leader.

Test: control_client, late_replies_of_a_busy_leader_are_accepted (red before; replies after 0.45 s).

--- a/src/process/control_client.c
+++ b/src/process/control_client.c
@@ -2,26 +2,28 @@
  * The lease is counted from when the heartbeat that was replied to was sent,
  * by the clock of this host, so clocks of different hosts are never compared.
  * The configuration never goes back to a lower version.
+ *
+ * A reply that comes late is accepted.  If it were dropped, a leader that is
+ * asked by all hosts at once would do its work in vain: the hosts would ask
+ * again, and its replies would stay late.
  */
 #include "control_client.h"
 
 #include "../version/conf.h"
 #include "control.h"
 #include "control_hosts.h"
+#include "forwarded_requests.h"
 #include "leader.h"
 #include "log.h"
 #include "net.h"
 #include "pace.h"
+#include "sent_heartbeats.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define PART "control_client"
-/* Interval at which a forwarded request without a reply is sent again. */
-#define REQUEST_RETRY_US (700 * CFS_US_PER_MS)
-/* The same after the host replied that it is not leader. */
-#define REQUEST_REFUSED_RETRY_US (50 * CFS_US_PER_MS)
 #define HTTP_UNAVAILABLE 503
 /* Delay before the next attempt to find the leader; doubles with each attempt
    up to the maximum. */
@@ -36,18 +38,6 @@
 /* After this time without a reply the loss of the control group is logged. */
 #define CONTROL_LOST_US (1500 * CFS_US_PER_MS)
 
-/**
- * struct forwarded_request - operator request without a reply so far
- * @refused: the last host it was sent to is not leader
- */
-struct forwarded_request
-{
-  Cfs__Peer *message;
-  int64_t received_at;
-  int64_t sent_at;
-  bool refused;
-};
-
 /**
  * struct cfs_control_client - connection to the control group
  * @reply_received: the last heartbeat was replied to
@@ -55,12 +45,14 @@
  * @retry_us: delay before the next attempt to find the leader, 0 if none
  * failed since the leader's last reply
  * @redirected: the last heartbeat was sent where a reply pointed to
+ * @sent: heartbeats that may still be replied to
  * @hosts: known control hosts; messages are sent to the selected one
  * @directory: log index of the newest routing data received
  * @live_hosts: number of hosts according to the leader, 0 if not known
  * @report: sent with each heartbeat, or NULL
  * @uses: uses of teams for the next heartbeat, or NULL
  * @announcements: instances for the next heartbeat
+ * @requests: operator requests without a reply so far
  */
 struct cfs_control_client
 {
@@ -72,6 +64,7 @@
   uint64_t seq;
   int64_t heartbeat_sent_at;
   int64_t next_heartbeat_at;
+  struct sent_heartbeats sent;
   bool reply_received;
   int64_t reply_timeout_us;
   int64_t retry_us;
@@ -88,9 +81,7 @@
   Cfs__Peer **announcements;
   size_t announcement_count;
   size_t announcement_cap;
-  struct forwarded_request *requests;
-  size_t request_count;
-  size_t request_cap;
+  struct forwarded_requests requests;
 };
 
 static int
@@ -210,6 +201,16 @@
     c->reply_timeout_us = REPLY_TIMEOUT_MAX_US;
 }
 
+static void
+record_sent (struct cfs_control_client *c, int64_t now)
+{
+  struct sent_heartbeat h
+      = { .seq = c->seq, .sent_at = now, .demand = c->uses != NULL };
+
+  cfs_copy (h.host, sizeof h.host, control_hosts_selected (&c->hosts)->host);
+  sent_heartbeats_add (&c->sent, &h);
+}
+
 static void
 send_heartbeat (struct cfs_control_client *c, int64_t now)
 {
@@ -253,6 +254,7 @@
   c->next_heartbeat_at = now + heartbeat_interval (c);
   if (send_to_leader (c, &out) == CFS_OK)
     {
+      record_sent (c, now);
       free_announcements (c);
       g_clear_pointer (&c->uses, free_message);
     }
@@ -302,11 +304,12 @@
    reply of the leader extends it.  Elsewhere it covers gates and limiters and
    must be granted. */
 static int64_t
-lease_end (const struct cfs_control_client *c, const Cfs__HeartbeatReply *r)
+lease_end (const struct cfs_control_client *c, int64_t sent_at,
+           const Cfs__HeartbeatReply *r)
 {
   if (c->settings->uses_seeds)
-    return c->heartbeat_sent_at + c->settings->document_lease_us;
-  return r->granted ? c->heartbeat_sent_at + LEASE_US : 0;
+    return sent_at + c->settings->document_lease_us;
+  return r->granted ? sent_at + LEASE_US : 0;
 }
 
 /* Only the first redirect in a row is followed without a delay: the hosts may
@@ -322,38 +325,59 @@
   c->redirected = true;
 }
 
+/* Handles the reply of a host that is not the leader to the last heartbeat. */
 static void
-handle_reply (struct cfs_control_client *c, Cfs__HeartbeatReply *r,
-              int64_t now)
+handle_denial (struct cfs_control_client *c, const Cfs__HeartbeatReply *r,
+               int64_t now)
 {
-  uint64_t old_version = c->version;
-  char *reply_document = r->document;
-
-  if (r->seq != c->seq)
-    return;
   c->reply_received = true;
   if (*r->leader)
     {
       follow_redirect (c, r->leader, now);
       return;
     }
-  /* The sender is not leader and knows of none. */
-  if (!r->granted && r->version == 0)
-    {
-      control_hosts_select_next (&c->hosts);
-      retry_later (c, now);
-      c->redirected = false;
-      return;
-    }
+  control_hosts_select_next (&c->hosts);
+  retry_later (c, now);
+  c->redirected = false;
+}
+
+/* Whether the sender is not the leader: it names another, or none. */
+static bool
+is_denial (const Cfs__HeartbeatReply *r)
+{
+  return *r->leader || (!r->granted && r->version == 0);
+}
+
+/* The host that replies late is the leader, wherever the last heartbeat went.
+   Shares that it leased are not taken over if the demand was reported again
+   since, with the shares held by then. */
+static void
+prepare_late_reply (struct cfs_control_client *c,
+                    const struct sent_heartbeat *sent, Cfs__HeartbeatReply *r)
+{
+  control_hosts_select (&c->hosts, sent->host);
+  if (sent_heartbeats_demand_after (&c->sent, sent->seq))
+    r->has_shares = false;
+}
+
+static void
+accept_reply (struct cfs_control_client *c, const struct sent_heartbeat *sent,
+              Cfs__HeartbeatReply *r, int64_t now)
+{
+  uint64_t old_version = c->version;
+  char *reply_document = r->document;
+
+  c->reply_received = true;
   if (!apply_versions (c, r))
     return;
+  sent_heartbeats_accept (&c->sent, r->seq);
   record_reply (c, now);
   if (r->directory > c->directory)
     c->directory = r->directory;
   if (r->live_hosts)
     c->live_hosts = r->live_hosts;
   control_hosts_update (&c->hosts, r);
-  r->lease_until_us = lease_end (c, r);
+  r->lease_until_us = lease_end (c, sent->sent_at, r);
   r->document = c->version != old_version ? c->document : (char *)"";
   c->ops->heartbeat_replied (c->ctx, r);
   r->document = reply_document;
@@ -362,31 +386,45 @@
              c->version);
 }
 
+/* A late reply counts only where any reply of the leader extends the lease.  A
+   lease on gates must be granted to the last heartbeat, which may have
+   released some. */
 static void
-remove_request (struct cfs_control_client *c, size_t i)
+handle_reply (struct cfs_control_client *c, Cfs__HeartbeatReply *r,
+              int64_t now)
 {
-  cfs__peer__free_unpacked (c->requests[i].message, NULL);
-  c->requests[i] = c->requests[--c->request_count];
+  const struct sent_heartbeat *sent = sent_heartbeats_find (&c->sent, r->seq);
+  bool late = r->seq != c->seq;
+
+  if (!sent || (late && !c->settings->uses_seeds))
+    return;
+  if (is_denial (r))
+    {
+      if (!late && !c->reply_received)
+        handle_denial (c, r, now);
+      return;
+    }
+  if (late)
+    prepare_late_reply (c, sent, r);
+  accept_reply (c, sent, r, now);
 }
 
 static void
 handle_operator_reply (struct cfs_control_client *c, Cfs__OperatorReply *r)
 {
-  for (size_t i = 0; i < c->request_count; i++)
+  struct forwarded_request *q = forwarded_requests_find (&c->requests, r->id);
+
+  if (!q)
+    return;
+  if (r->status == HTTP_UNAVAILABLE)
     {
-      if (c->requests[i].message->call->id != r->id)
-        continue;
-      if (r->status == HTTP_UNAVAILABLE)
-        {
-          control_hosts_select (&c->hosts, r->body);
-          c->requests[i].sent_at = cfs_now ();
-          c->requests[i].refused = true;
-          return;
-        }
-      c->ops->operator_replied (c->ctx, r);
-      remove_request (c, i);
+      control_hosts_select (&c->hosts, r->body);
+      q->sent_at = cfs_now ();
+      q->refused = true;
       return;
     }
+  c->ops->operator_replied (c->ctx, r);
+  forwarded_requests_remove (&c->requests, q);
 }
 
 static void
@@ -433,14 +471,12 @@
 {
   if (!c)
     return;
-  while (c->request_count)
-    remove_request (c, 0);
+  forwarded_requests_end (&c->requests);
   free_announcements (c);
   if (c->report)
     cfs__peer__free_unpacked (c->report, NULL);
   g_clear_pointer (&c->uses, free_message);
   cfs_net_free (c->net);
-  free (c->requests);
   free (c->announcements);
   free (c->document);
   free (c);
@@ -482,14 +518,7 @@
 cfs_control_client_forward (struct cfs_control_client *c, Cfs__Peer *request,
                             int64_t now)
 {
-  struct forwarded_request *q;
-
-  cfs_grow (&c->requests, &c->request_cap, c->request_count,
-            sizeof *c->requests);
-  q = &c->requests[c->request_count++];
-  q->message = request;
-  q->received_at = now;
-  q->sent_at = 0;
+  forwarded_requests_add (&c->requests, request, now);
 }
 
 void
@@ -499,24 +528,12 @@
   send_to_leader (c, request);
 }
 
-/* The leader replies to a patch only once it is in force, to other requests at
-   once. */
-static int64_t
-retry_interval (const struct forwarded_request *q)
-{
-  if (q->refused)
-    return REQUEST_REFUSED_RETRY_US;
-  if (q->message->call->kind == OPERATOR_PATCH)
-    return IN_FORCE_WAIT_US + CFS_US_PER_S;
-  return REQUEST_RETRY_US;
-}
-
 static void
 tick_requests (struct cfs_control_client *c, int64_t now)
 {
-  for (size_t i = c->request_count; i > 0; i--)
+  for (size_t i = c->requests.count; i > 0; i--)
     {
-      struct forwarded_request *q = &c->requests[i - 1];
+      struct forwarded_request *q = &c->requests.at[i - 1];
       Cfs__OperatorReply timed_out = CFS__OPERATOR_REPLY__INIT;
 
       if (now - q->received_at > OPERATOR_REQUEST_TIMEOUT_US)
@@ -526,9 +543,9 @@
           timed_out.body
               = (char *)"{\"detail\":\"no control leader replied in time\"}";
           c->ops->operator_replied (c->ctx, &timed_out);
-          remove_request (c, i - 1);
+          forwarded_requests_remove (&c->requests, q);
         }
-      else if (q->sent_at == 0 || now - q->sent_at > retry_interval (q))
+      else if (forwarded_request_due (q, now))
         {
           if (send_to_leader (c, q->message) == CFS_OK)
             q->sent_at = now;
--- a/tests/unit/control_client.c
+++ b/tests/unit/control_client.c
@@ -32,19 +32,28 @@
 #define SLOW_REPLY_US (100 * CFS_US_PER_MS)
 /* A redirect is followed at most this often, on average. */
 #define REDIRECTS_PER_S_MAX 20
+#define QUEUE_MAX 64
+/* Longer than a host waits before it asks another control host. */
+#define LATE_REPLY_US (450 * CFS_US_PER_MS)
 
 struct world;
 
-/* A control host played by the test; it replies to the last heartbeat after
-   the delay. */
+/* Heartbeat that a played host has not replied to. */
+struct unreplied
+{
+  uint64_t seq;
+  int64_t received_at;
+};
+
+/* A control host played by the test; it replies to each heartbeat after the
+   delay. */
 struct played_host
 {
   struct world *world;
   struct cfs_net *net;
   struct cfs_origin from;
-  uint64_t seq;
-  int64_t received_at;
-  bool replied;
+  struct unreplied queue[QUEUE_MAX];
+  size_t queued;
   bool silent;
   const char *names;
   unsigned heartbeats;
@@ -61,7 +70,9 @@
   struct played_host hosts[CONTROL_HOSTS];
   int64_t reply_delay_us;
   unsigned accepted;
+  unsigned with_shares;
   int64_t accepted_at;
+  int64_t lease_until;
   uint32_t number;
 };
 
@@ -69,15 +80,17 @@
 receive (void *ctx, const struct cfs_origin *from, const Cfs__Peer *msg)
 {
   struct played_host *h = ctx;
+  struct unreplied *u = &h->queue[h->queued];
 
-  if (msg->body_case != CFS__PEER__BODY_HEARTBEAT || h->silent)
+  if (msg->body_case != CFS__PEER__BODY_HEARTBEAT || h->silent
+      || h->queued == QUEUE_MAX)
     return;
   h->heartbeats++;
-  h->unreplied += !h->replied;
+  h->unreplied += h->queued > 0;
   h->from = *from;
-  h->seq = msg->heartbeat->seq;
-  h->received_at = cfs_now ();
-  h->replied = false;
+  u->seq = msg->heartbeat->seq;
+  u->received_at = cfs_now ();
+  h->queued++;
 }
 
 static void
@@ -86,15 +99,18 @@
   Cfs__Peer out = CFS__PEER__INIT;
   Cfs__HeartbeatReply reply = CFS__HEARTBEAT_REPLY__INIT;
 
-  if (h->replied || cfs_now () - h->received_at < h->world->reply_delay_us)
+  if (h->queued == 0
+      || cfs_now () - h->queue[0].received_at < h->world->reply_delay_us)
     return;
-  reply.seq = h->seq;
+  reply.seq = h->queue[0].seq;
   reply.granted = !*h->names;
   reply.leader = (char *)h->names;
+  reply.has_shares = true;
   out.body_case = CFS__PEER__BODY_REPLY;
   out.reply = &reply;
   cfs_net_reply (h->net, &h->from, &out);
-  h->replied = true;
+  h->queued--;
+  memmove (h->queue, h->queue + 1, h->queued * sizeof h->queue[0]);
 }
 
 static void
@@ -102,8 +118,9 @@
 {
   struct world *w = ctx;
 
-  (void)reply;
   w->accepted++;
+  w->with_shares += reply->has_shares;
+  w->lease_until = reply->lease_until_us;
   w->accepted_at = cfs_now ();
 }
 
@@ -137,7 +154,6 @@
                                  .ctx = h };
 
   h->world = w;
-  h->replied = true;
   h->names = "";
   cfs_copy (entry->host, sizeof entry->host,
             i == LEADER ? "127.0.0.95" : "127.0.0.96");
@@ -229,6 +245,7 @@
 drop_counts (struct world *w)
 {
   w->accepted = 0;
+  w->with_shares = 0;
   for (unsigned i = 0; i < CONTROL_HOSTS; i++)
     w->hosts[i].heartbeats = w->hosts[i].unreplied = 0;
 }
@@ -261,6 +278,26 @@
     }
   assert_true (heartbeats >= RUN_US / SLOW_REPLY_US / 2);
   assert_true (w->accepted + 1 >= heartbeats);
+  assert_int_equal (w->with_shares, w->accepted);
+  free_world (w);
+}
+
+/* A leader that is busy replies when the host has asked another control host,
+   which names the leader.  Its replies are accepted all the same, but not the
+   shares in them, since the host has reported its demand again. */
+static void
+late_replies_of_a_busy_leader_are_accepted (void **state)
+{
+  struct world *w = new_world (LATE_REPLY_US);
+
+  (void)state;
+  w->hosts[CONTROL_HOSTS - 1].names = w->settings.control[LEADER].host;
+  settle (w);
+  run_world (w, RUN_US);
+  assert_true (w->accepted >= RUN_US / LATE_REPLY_US - 1);
+  assert_true (w->lease_until >= cfs_now () + w->settings.document_lease_us
+                                     - 2 * LATE_REPLY_US);
+  assert_int_equal (w->with_shares, 0);
   free_world (w);
 }
 
@@ -322,6 +359,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_late_reply_is_awaited),
+    cmocka_unit_test (late_replies_of_a_busy_leader_are_accepted),
     cmocka_unit_test (a_leader_that_names_itself_is_not_asked_without_pause),
     cmocka_unit_test (
         a_leader_that_was_silent_is_found_within_a_heartbeat_interval)
