--- a/src/process/raft_follow.c
+++ b/src/process/raft_follow.c
@@ -118,6 +118,25 @@
   reply_append (r, m, false, match);
 }
 
+/* Removes the entries from the index of a snapshot on, which conflict with it:
+   they were never committed.  This is durable before the snapshot is saved.  A
+   crash in between would otherwise leave them above the snapshot, as if they
+   followed it. */
+static int
+remove_conflicting (struct cfs_raft *r, uint64_t index)
+{
+  int rc;
+
+  if (raft_last_index (r) < index)
+    return CFS_OK;
+  rc = r->ops->truncate (r->ctx, index);
+  if (rc != CFS_OK)
+    return rc;
+  raft_drop_entries (r, index);
+  raft_restore_members (r);
+  return CFS_OK;
+}
+
 void
 raft_on_snapshot (struct cfs_raft *r, const Cfs__RaftMsg *m, int64_t now)
 {
@@ -146,8 +165,8 @@
   s.data = cfs_alloc (s.len);
   if (s.len)
     memcpy (s.data, m->snapshot.data, s.len);
-  if (r->ops->save_snapshot (r->ctx, &s) != CFS_OK
-      || r->ops->truncate (r->ctx, s.index + 1) != CFS_OK)
+  if (remove_conflicting (r, s.index) != CFS_OK
+      || r->ops->save_snapshot (r->ctx, &s) != CFS_OK)
     {
       free (s.data);
       return;
