A file that cannot be read is neither absent nor empty

What could happen: a control host whose vote file cannot be opened, for want of descriptors or by an error of the disk, took it for absent: it gave itself a new identity or, on a first start, formatted its folder anew. A read error or a signal counted as the end of the log, so acknowledged entries were dropped like a torn tail.

Change: reading a file has three outcomes: read, absent, unreadable. Reads are repeated after EINTR and go to the end of the file.

Failed writes of the vote and of the audit file are logged.

--- a/src/process/control.c
+++ b/src/process/control.c
@@ -22,8 +22,13 @@
 save_vote (void *ctx, uint64_t term, uint64_t vote)
 {
   const struct cfs_control *c = ctx;
+  int rc = cfs_disk_save_vote (c->disk, term, vote);
 
-  return cfs_disk_save_vote (c->disk, term, vote);
+  if (rc != CFS_OK)
+    cfs_log (CFS_ERR, PART,
+             "cannot write the vote of term %" PRIu64 " to disk, status %d",
+             term, rc);
+  return rc;
 }
 
 static int
--- a/src/process/disk.c
+++ b/src/process/disk.c
@@ -11,6 +11,7 @@
 #include "disk.h"
 
 #include "file.h"
+#include "log.h"
 
 #include <errno.h>
 #include <fcntl.h>
@@ -20,6 +21,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#define PART "disk"
 #define RECORD_HEADER_BYTES 32
 #define RECORD_DATA_MAX (64u << 20)
 #define VOTE_FILE "vote"
@@ -176,11 +178,13 @@
           GError **error)
 {
   size_t len;
-  uint8_t *data = cfs_file_read (d->folder, LOG_FILE, &len);
+  uint8_t *data;
   size_t offset = 0;
   size_t cap = 0;
   bool ok = true;
 
+  if (cfs_file_read (d->folder, LOG_FILE, &data, &len) != CFS_FILE_READ)
+    return set_error (error, d->folder, LOG_FILE, "cannot be read");
   while (offset < len)
     {
       size_t n = valid_record_size (data + offset, len - offset);
@@ -280,11 +284,15 @@
 load_snapshot (struct cfs_disk *d, struct cfs_raft_snapshot *s, GError **error)
 {
   size_t len;
-  uint8_t *data = cfs_file_read (d->folder, SNAPSHOT_FILE, &len);
+  uint8_t *data;
+  enum cfs_file_status status
+      = cfs_file_read (d->folder, SNAPSHOT_FILE, &data, &len);
   Cfs__RaftMsg *m = NULL;
 
-  if (!data)
+  if (status == CFS_FILE_ABSENT)
     return true;
+  if (status == CFS_FILE_UNREADABLE)
+    return set_error (error, d->folder, SNAPSHOT_FILE, "cannot be read");
   if (valid_record_size (data, len) == len)
     m = cfs__raft_msg__unpack (NULL, len - RECORD_HEADER_BYTES,
                                data + RECORD_HEADER_BYTES);
@@ -314,8 +322,10 @@
            uint64_t new_id, GError **error)
 {
   size_t len;
-  uint8_t *data = cfs_file_read (d->folder, VOTE_FILE, &len);
-  bool valid = data && len == VOTE_BYTES
+  uint8_t *data;
+  enum cfs_file_status status
+      = cfs_file_read (d->folder, VOTE_FILE, &data, &len);
+  bool valid = status == CFS_FILE_READ && len == VOTE_BYTES
                && get64 (data + 24) == cfs_hash (data, 24, 1);
 
   if (valid)
@@ -324,8 +334,10 @@
       initial->term = get64 (data + 8);
       initial->vote = get64 (data + 16);
     }
-  else if (data)
+  else if (status == CFS_FILE_READ)
     set_error (error, d->folder, VOTE_FILE, "corrupted; replace this disk");
+  else if (status == CFS_FILE_UNREADABLE)
+    set_error (error, d->folder, VOTE_FILE, "cannot be read");
   else
     {
       initial->id = new_id;
@@ -345,17 +357,12 @@
   uint8_t *data;
   size_t len;
   bool ok;
-  int fd;
 
   if (mkdir (folder, 0700) != 0 && errno != EEXIST)
     return set_error (error, folder, "", "cannot create the data folder");
-  fd = cfs_file_open (folder, VOTE_FILE, O_RDONLY);
-  if (fd >= 0)
-    {
-      close (fd);
-      return set_error (error, folder, VOTE_FILE,
-                        "the data folder is already initialized");
-    }
+  if (cfs_disk_exists (folder))
+    return set_error (error, folder, VOTE_FILE,
+                      "the data folder is already initialized");
   len = pack_snapshot (&s, &data);
   ok = cfs_file_replace (folder, SNAPSHOT_FILE, data, len)
        && write_vote (folder, id, 0, 0);
@@ -368,9 +375,10 @@
 {
   int fd = cfs_file_open (folder, VOTE_FILE, O_RDONLY);
 
-  if (fd >= 0)
-    close (fd);
-  return fd >= 0;
+  if (fd < 0)
+    return errno != ENOENT;
+  close (fd);
+  return true;
 }
 
 struct cfs_disk *
@@ -478,14 +486,16 @@
 {
   size_t first = 0;
   size_t len;
-  uint8_t *data = cfs_file_read (d->folder, LOG_FILE, &len);
+  uint8_t *data;
   off_t cut;
   int fd;
 
+  if (cfs_file_read (d->folder, LOG_FILE, &data, &len) != CFS_FILE_READ)
+    return false;
   while (first < d->count && d->offsets[first].index <= index)
     first++;
   cut = first < d->count ? d->offsets[first].offset : d->end;
-  if (!data || (off_t)len < d->end
+  if ((off_t)len < d->end
       || !cfs_file_replace (d->folder, LOG_FILE, data + cut,
                             (size_t)(d->end - cut)))
     {
@@ -525,7 +535,11 @@
 cfs_disk_append_audit (struct cfs_disk *d, const char *line)
 {
   if (!cfs_file_write (d->audit, (const uint8_t *)line, strlen (line)))
-    return;
+    {
+      cfs_log (CFS_WARNING, PART, "cannot write to the audit file: %s",
+               strerror (errno));
+      return;
+    }
   cfs_file_sync (d->audit);
 }
 
@@ -534,9 +548,10 @@
 {
   static const char field[] = "{\"version\":";
   size_t len;
-  uint8_t *data = cfs_file_read (d->folder, AUDIT_FILE, &len);
+  uint8_t *data;
   uint64_t last = 0;
 
+  cfs_file_read (d->folder, AUDIT_FILE, &data, &len);
   for (size_t i = 0; i + sizeof field < len; i++)
     if ((i == 0 || data[i - 1] == '\n')
         && memcmp (data + i, field, sizeof field - 1) == 0)
--- a/src/process/disk.h
+++ b/src/process/disk.h
@@ -33,8 +33,8 @@
                       const struct cfs_raft_membership *members,
                       GError **error);
 
-/** cfs_disk_exists() - whether a folder is initialized: it holds a vote file
- */
+/** cfs_disk_exists() - whether a folder is initialized: it holds a vote file,
+ * also one that cannot be read */
 bool cfs_disk_exists (const char *folder);
 
 /**
--- a/src/process/file.c
+++ b/src/process/file.c
@@ -11,6 +11,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -91,32 +92,51 @@
   return ok && rename (from, to) == 0 && cfs_file_sync_folder (folder);
 }
 
-uint8_t *
-cfs_file_read (const char *folder, const char *file, size_t *len)
+/* Reads to the end of the file, which may be longer than @expected. */
+static bool
+read_all (int fd, size_t expected, uint8_t **data, size_t *len)
+{
+  size_t cap = expected + 1;
+  ssize_t n = 1;
+
+  *data = cfs_alloc (cap);
+  while (n != 0)
+    {
+      if (*len == cap)
+        cfs_grow (data, &cap, *len, 1);
+      n = read (fd, *data + *len, cap - *len);
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n < 0)
+        return false;
+      *len += (size_t)n;
+    }
+  return true;
+}
+
+enum cfs_file_status
+cfs_file_read (const char *folder, const char *file, uint8_t **data,
+               size_t *len)
 {
   int fd = cfs_file_open (folder, file, O_RDONLY);
   struct stat st;
-  uint8_t *data;
-  size_t got = 0;
+  bool ok;
 
+  *data = NULL;
   *len = 0;
-  if (fd < 0)
-    return NULL;
-  if (fstat (fd, &st) != 0)
-    {
-      close (fd);
-      return NULL;
-    }
-  data = cfs_alloc ((size_t)st.st_size + 1);
-  while (got < (size_t)st.st_size)
+  if (fd < 0 && errno == ENOENT)
+    return CFS_FILE_ABSENT;
+  ok = fd >= 0 && fstat (fd, &st) == 0
+       && read_all (fd, (size_t)st.st_size, data, len);
+  if (!ok)
     {
-      ssize_t n = read (fd, data + got, (size_t)st.st_size - got);
-
-      if (n <= 0)
-        break;
-      got += (size_t)n;
+      cfs_log (CFS_ERR, PART, "cannot read %s/%s: %s", folder, file,
+               strerror (errno));
+      free (*data);
+      *data = NULL;
+      *len = 0;
     }
-  close (fd);
-  *len = got;
-  return data;
+  if (fd >= 0)
+    close (fd);
+  return ok ? CFS_FILE_READ : CFS_FILE_UNREADABLE;
 }
--- a/src/process/file.h
+++ b/src/process/file.h
@@ -34,12 +34,26 @@
                        const uint8_t *data, size_t len);
 
 /**
- * cfs_file_read() - reads a whole file
- * @len: set to the number of bytes read
- *
- * Return: data that the caller frees, or NULL if the file cannot be opened.
- * After a read error the data ends early.
+ * enum cfs_file_status - outcome of reading a file
+ * @CFS_FILE_READ: all of it was read
+ * @CFS_FILE_ABSENT: there is no such file
+ * @CFS_FILE_UNREADABLE: it may exist, but could not be opened or read to its
+ * end
+ */
+enum cfs_file_status
+{
+  CFS_FILE_READ,
+  CFS_FILE_ABSENT,
+  CFS_FILE_UNREADABLE
+};
+
+/**
+ * cfs_file_read() - reads a whole file; logs why it is unreadable
+ * @data: set to the contents, which the caller frees, or to NULL if it was not
+ * read
+ * @len: set to the number of bytes
  */
-uint8_t *cfs_file_read (const char *folder, const char *file, size_t *len);
+enum cfs_file_status cfs_file_read (const char *folder, const char *file,
+                                    uint8_t **data, size_t *len);
 
 #endif
--- a/tests/unit/disk.c
+++ b/tests/unit/disk.c
@@ -217,14 +217,86 @@
   remove_folder (folder);
 }
 
+/* Replaces a file by a link to @target. */
+static void
+replace_by_link (const char *folder, const char *file, const char *target)
+{
+  char path[128];
+
+  snprintf (path, sizeof path, "%s/%s", folder, file);
+  unlink (path);
+  assert_int_equal (symlink (target, path), 0);
+}
+
+static void
+check_not_opened (const char *folder, const char *file, const char *target)
+{
+  struct cfs_raft_initial_state initial;
+  struct cfs_disk *d;
+  char path[128];
+  char to[128];
+  ssize_t n;
+
+  replace_by_link (folder, file, target);
+  d = open_disk (folder, &initial);
+  assert_null (d);
+  free_initial_state (&initial);
+  snprintf (path, sizeof path, "%s/%s", folder, file);
+  n = readlink (path, to, sizeof to);
+  assert_int_equal (n, strlen (target));
+}
+
+/* A link to itself cannot be opened, and reading this process's memory at 0
+   fails.  Neither may pass for a file that is absent or empty. */
+static void
+an_unreadable_file_is_neither_absent_nor_empty (void **state)
+{
+  static const char *const files[] = { "vote", "snapshot", "log" };
+  struct cfs_raft_membership members = { .count = 0 };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof files / sizeof files[0]; i++)
+    {
+      char folder[FOLDER_PATH_BYTES];
+
+      make_folder (folder);
+      assert_true (cfs_disk_format (folder, 5, &members, NULL));
+      check_not_opened (folder, files[i], files[i]);
+      remove_folder (folder);
+      make_folder (folder);
+      assert_true (cfs_disk_format (folder, 5, &members, NULL));
+      check_not_opened (folder, files[i], "/proc/self/mem");
+      remove_folder (folder);
+    }
+}
+
+static void
+a_folder_with_an_unreadable_vote_is_not_formatted (void **state)
+{
+  char folder[FOLDER_PATH_BYTES];
+  struct cfs_raft_membership members = { .count = 0 };
+  GError *error = NULL;
+
+  (void)state;
+  make_folder (folder);
+  replace_by_link (folder, "vote", "vote");
+  assert_true (cfs_disk_exists (folder));
+  assert_false (cfs_disk_format (folder, 5, &members, &error));
+  g_error_free (error);
+  remove_folder (folder);
+}
+
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (a_log_tail_torn_at_any_byte_is_removed),
-          cmocka_unit_test (corruption_before_the_tail_is_an_error),
-          cmocka_unit_test (snapshot_vote_and_truncation_are_durable),
-          cmocka_unit_test (an_initialized_folder_is_not_formatted_again) };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_log_tail_torn_at_any_byte_is_removed),
+    cmocka_unit_test (corruption_before_the_tail_is_an_error),
+    cmocka_unit_test (snapshot_vote_and_truncation_are_durable),
+    cmocka_unit_test (an_initialized_folder_is_not_formatted_again),
+    cmocka_unit_test (an_unreadable_file_is_neither_absent_nor_empty),
+    cmocka_unit_test (a_folder_with_an_unreadable_vote_is_not_formatted)
+  };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
