Hosts that started together spread their full demand reports

Cause: one of 8 demand reports of a host contains all teams, counted from its start. 200 hosts that start together send them together: 8,400 to 11,760 uses of teams in 0.2 s, where 0 to 2,000 are usual (trial, messages at the leader logged each 0.2 s), and token requests wait behind them.

Change: the first report contains all teams, then one of 8, at a phase that depends on the host's name (pace.c).

Test: quota_requests, full_reports_of_all_hosts_are_spread; mutant full-reports-together is red.

--- a/src/process/front.c
+++ b/src/process/front.c
@@ -26,9 +26,6 @@
 
 #define PART "front"
 #define TICK_US (4 * CFS_US_PER_MS)
-/* One of so many reports contains all teams: where there are few hosts, each
-   holds a share of every team before its first operation. */
-#define FULL_DEMAND_REPORTS 8
 /* Difference in rate allowed for between the clocks of two hosts. */
 #define CLOCK_DRIFT_PERCENT 5
 /* Maximum number of teams in one request for tokens. */
@@ -249,7 +246,7 @@
   if (!c || c->team_count == 0 || now - f->demand_sent_at < interval)
     return;
   f->demand_sent_at = now;
-  full = f->demand_reports++ % FULL_DEMAND_REPORTS == 0;
+  full = cfs_pace_report_is_full (f->demand_reports++, f->settings->host);
   entries = cfs_alloc (c->team_count * sizeof *entries);
   h.uses = cfs_alloc (c->team_count * sizeof *h.uses);
   for (size_t i = 0; i < c->team_count; i++)
--- a/src/process/pace.c
+++ b/src/process/pace.c
@@ -5,6 +5,12 @@
  */
 #include "pace.h"
 
+#include <string.h>
+
+/* One of so many reports contains all teams: where there are few hosts, each
+   holds a share of every team before its first operation. */
+#define FULL_REPORT_PERIOD 8
+
 /**
  * struct pace - interval of one kind of message
  * @least_us: for few hosts
@@ -62,3 +68,12 @@
 {
   return interval (&tokens, hosts);
 }
+
+bool
+cfs_pace_report_is_full (unsigned number, const char *host)
+{
+  unsigned phase
+      = (unsigned)(cfs_hash (host, strlen (host), 1) % FULL_REPORT_PERIOD);
+
+  return number == 0 || number % FULL_REPORT_PERIOD == phase;
+}
--- a/src/process/pace.h
+++ b/src/process/pace.h
@@ -24,4 +24,15 @@
 /** cfs_pace_tokens_us() - minimum time between two token requests */
 int64_t cfs_pace_tokens_us (uint32_t hosts);
 
+/**
+ * cfs_pace_report_is_full() - whether a report of the demand contains all
+ * teams
+ * @number: number of the report, from 0
+ * @host: name of the host
+ *
+ * The first one and one of 8 after it.  Hosts that started together do not
+ * send them together.
+ */
+bool cfs_pace_report_is_full (unsigned number, const char *host);
+
 #endif
--- a/tests/unit/quota_requests.c
+++ b/tests/unit/quota_requests.c
@@ -34,6 +34,10 @@
 /* To a silent leader; 400 hosts then send 2,000 a second. */
 #define REQUESTS_TO_SILENT_PER_S_MAX 5
 
+#define HOSTS 200
+/* Reports among which each host has one with all teams. */
+#define REPORTS 8
+
 struct host
 {
   int64_t now;
@@ -250,6 +254,37 @@
   assert_true (cfs_pace_heartbeat_us (400) < HOST_FRESH_US);
 }
 
+/* Hosts that all start at the same moment, as after a loss of power. */
+static void
+full_reports_of_all_hosts_are_spread (void **state)
+{
+  unsigned fulls[HOSTS] = { 0 };
+  unsigned most = 0;
+
+  (void)state;
+  for (unsigned number = 1; number <= REPORTS; number++)
+    {
+      unsigned together = 0;
+
+      for (unsigned i = 0; i < HOSTS; i++)
+        {
+          char name[32];
+
+          snprintf (name, sizeof name, "10.%u.0.%u", i % 6 + 1, i / 6 + 7);
+          assert_true (cfs_pace_report_is_full (0, name));
+          if (!cfs_pace_report_is_full (number, name))
+            continue;
+          fulls[i]++;
+          together++;
+        }
+      if (together > most)
+        most = together;
+    }
+  for (unsigned i = 0; i < HOSTS; i++)
+    assert_int_equal (fulls[i], 1);
+  assert_in_range (most, 1, 2 * HOSTS / REPORTS);
+}
+
 int
 main (void)
 {
@@ -260,7 +295,8 @@
     cmocka_unit_test (teams_that_do_not_fit_take_turns),
     cmocka_unit_test (a_silent_team_is_not_reported),
     cmocka_unit_test (an_expired_share_is_not_renewed),
-    cmocka_unit_test (the_load_of_the_leader_does_not_grow_with_the_hosts)
+    cmocka_unit_test (the_load_of_the_leader_does_not_grow_with_the_hosts),
+    cmocka_unit_test (full_reports_of_all_hosts_are_spread)
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
