Hosts of a large fleet do not repeat token requests to a busy leader

Cause (class: retries that feed the queue they wait in): tokens are of use for 0.25 s after their request was sent. A leader that is busy for half a second replies later than that, and each host asks again after 0.12 to 0.24 s, so what 200 hosts send keeps the replies late, and the tokens that are granted are spent for nothing.

Change: the time after which a request counts as lost grows with the number of hosts, to 0.5 and 1 s for 200 (0.12 and 0.24 s up to 48 hosts, as before). A request to a leader that is gone is noticed by the reply to a later heartbeat: the leader handles the messages of a host in order.

Ruled out: the change of leader at 3 s (all hosts have leases and get replies); denials (they are authoritative and take 0 ms from 12.4 s on).

--- a/src/process/front.c
+++ b/src/process/front.c
@@ -148,13 +148,19 @@
          - (lease > SHARE_LEASE_US ? lease - SHARE_LEASE_US : 0);
 }
 
+static int64_t
+heartbeat_sent_at (const struct cfs_front *f, const Cfs__HeartbeatReply *r)
+{
+  return r->lease_until_us - f->settings->document_lease_us;
+}
+
 /* Takes the positions of the primaries from a reply.  The leader wrote it
    after this host had sent its heartbeat, so the time of the heartbeat, less
    the age of the position, is not after the leader's query. */
 static void
 apply_samples (struct cfs_front *f, const Cfs__HeartbeatReply *r)
 {
-  int64_t heartbeat_at = r->lease_until_us - f->settings->document_lease_us;
+  int64_t heartbeat_at = heartbeat_sent_at (f, r);
 
   for (size_t i = 0; i < r->n_samples; i++)
     {
@@ -175,7 +181,9 @@
 
   apply_samples (f, r);
   cfs_fleet_update (&f->fleet, r);
-  f->quota.request_interval_us = cfs_pace_tokens_us (f->fleet.live_hosts);
+  cfs_quota_set_pace (&f->quota, f->fleet.live_hosts);
+  cfs_quota_heartbeat_replied (&f->quota, heartbeat_sent_at (f, r),
+                               cfs_now ());
   if (r->has_shares && f->fleet.catalog)
     cfs_quota_update (&f->quota, r->shares, r->n_shares, f->fleet.catalog,
                       until, cfs_now ());
--- a/src/process/pace.c
+++ b/src/process/pace.c
@@ -32,6 +32,9 @@
     = { 900 * CFS_US_PER_MS, 7500, 3 * CFS_US_PER_S };
 static const struct pace unsettled_demand
     = { 100 * CFS_US_PER_MS, 2500, CFS_US_PER_S };
+/* A leader that is busy for a moment replies late, but does reply. */
+static const struct pace token_reply
+    = { 240 * CFS_US_PER_MS, 5000, CFS_US_PER_S };
 static const struct pace tokens
     = { 25 * CFS_US_PER_MS, 750, 300 * CFS_US_PER_MS };
 
@@ -69,6 +72,12 @@
   return interval (&tokens, hosts);
 }
 
+int64_t
+cfs_pace_token_reply_us (uint32_t hosts)
+{
+  return interval (&token_reply, hosts);
+}
+
 bool
 cfs_pace_report_is_full (unsigned number, const char *host)
 {
--- a/src/process/pace.h
+++ b/src/process/pace.h
@@ -24,6 +24,11 @@
 /** cfs_pace_tokens_us() - minimum time between two token requests */
 int64_t cfs_pace_tokens_us (uint32_t hosts);
 
+/** cfs_pace_token_reply_us() - longest wait for the reply to a token request.
+ * If all hosts asked a busy leader again before it has replied, what it has to
+ * handle would only grow, and tokens would arrive too late to be used */
+int64_t cfs_pace_token_reply_us (uint32_t hosts);
+
 /**
  * cfs_pace_report_is_full() - whether a report of the demand contains all
  * teams
--- a/src/request/quota.c
+++ b/src/request/quota.c
@@ -24,10 +24,9 @@
 #define DEMAND_END_US (5 * CFS_US_PER_S)
 /* Tokens are prefetched for the demand expected within this time. */
 #define PREFETCH_US (200 * CFS_US_PER_MS)
-/* Time after which a token request without a reply counts as lost; doubles
-   with each loss up to the maximum. */
-#define REPLY_TIMEOUT_US (120 * CFS_US_PER_MS)
-#define REPLY_TIMEOUT_MAX_US (240 * CFS_US_PER_MS)
+/* A token request counts as lost if the reply to a heartbeat arrives that was
+   sent so much later, on the same connection. */
+#define OVERTAKEN_US (20 * CFS_US_PER_MS)
 /* Delay of the next token request after one that was not granted in full. */
 #define DENIAL_PAUSE_US (60 * CFS_US_PER_MS)
 /* No tokens are prefetched for this time after a token was denied. */
@@ -46,9 +45,16 @@
   q->used_at = now;
   q->request_sent_at = 0;
   q->next_request_at = 0;
-  q->reply_timeout_us = REPLY_TIMEOUT_US;
-  q->request_interval_us = cfs_pace_tokens_us (0);
   q->next_team = 0;
+  cfs_quota_set_pace (q, 0);
+  q->reply_timeout_us = q->reply_timeout_max_us / 2;
+}
+
+void
+cfs_quota_set_pace (struct cfs_quota *q, uint32_t hosts)
+{
+  q->request_interval_us = cfs_pace_tokens_us (hosts);
+  q->reply_timeout_max_us = cfs_pace_token_reply_us (hosts);
 }
 
 void
@@ -233,15 +239,17 @@
     t->waiting--;
 }
 
+/* The time after which a request counts as lost doubles with each loss up to
+   the maximum. */
 static void
 note_request_sent (struct cfs_quota *q, int64_t now)
 {
   bool lost = q->request_sent_at != 0;
 
   q->reply_timeout_us
-      = lost ? q->reply_timeout_us * 2 : (int64_t)REPLY_TIMEOUT_US;
-  if (q->reply_timeout_us > REPLY_TIMEOUT_MAX_US)
-    q->reply_timeout_us = REPLY_TIMEOUT_MAX_US;
+      = lost ? q->reply_timeout_us * 2 : q->reply_timeout_max_us / 2;
+  if (q->reply_timeout_us > q->reply_timeout_max_us)
+    q->reply_timeout_us = q->reply_timeout_max_us;
   q->request_sent_at = now;
   q->next_request_at = now + q->reply_timeout_us;
 }
@@ -255,6 +263,15 @@
   q->next_request_at = sent_at + q->request_interval_us;
 }
 
+void
+cfs_quota_heartbeat_replied (struct cfs_quota *q, int64_t sent_at, int64_t now)
+{
+  if (!q->request_sent_at || sent_at - q->request_sent_at < OVERTAKEN_US)
+    return;
+  q->request_sent_at = 0;
+  q->next_request_at = now;
+}
+
 static uint32_t
 tokens_to_request (const struct cfs_quota_team *t, int64_t now)
 {
--- a/src/request/quota.h
+++ b/src/request/quota.h
@@ -68,6 +68,7 @@
  * @next_request_at: earliest time of the next token request
  * @request_interval_us: minimum time between two token requests
  * @reply_timeout_us: time after which a request without a reply counts as lost
+ * @reply_timeout_max_us: its maximum
  * @next_team: index of the team with which the next token request begins
  *
  * Owned by the traffic thread.
@@ -81,12 +82,17 @@
   int64_t next_request_at;
   int64_t request_interval_us;
   int64_t reply_timeout_us;
+  int64_t reply_timeout_max_us;
   size_t next_team;
 };
 
 /** cfs_quota_init() - no shares, and no operation before @now */
 void cfs_quota_init (struct cfs_quota *quota, int64_t now);
 
+/** cfs_quota_set_pace() - sets the times of token requests for a number of
+ * hosts, 0 if it is not known */
+void cfs_quota_set_pace (struct cfs_quota *quota, uint32_t hosts);
+
 /** cfs_quota_end() - frees the teams */
 void cfs_quota_end (struct cfs_quota *quota);
 
@@ -161,6 +167,17 @@
  * no effect if that is not the last one */
 void cfs_quota_request_replied (struct cfs_quota *quota, int64_t sent_at);
 
+/**
+ * cfs_quota_heartbeat_replied() - the control leader replied to the heartbeat
+ * sent at @sent_at
+ *
+ * The leader handles the messages of a host in order.  A token request that
+ * was sent before and has no reply is lost, as after a change of leader; the
+ * next one may be sent now.
+ */
+void cfs_quota_heartbeat_replied (struct cfs_quota *quota, int64_t sent_at,
+                                  int64_t now);
+
 /**
  * struct cfs_quota_token_reply - the control leader's reply to a token request
  * @requested: number of tokens requested
--- a/tests/unit/quota_requests.c
+++ b/tests/unit/quota_requests.c
@@ -254,6 +254,29 @@
   assert_true (cfs_pace_heartbeat_us (400) < HOST_FRESH_US);
 }
 
+/* A request to a leader that is gone, and a heartbeat that its successor
+   replies to. */
+static void
+a_request_that_a_heartbeat_overtook_is_sent_again (void **state)
+{
+  struct cfs_quota q;
+  struct cfs_quota_need need;
+  int64_t now = CFS_US_PER_S;
+  int64_t later = now + 100 * CFS_US_PER_MS;
+
+  (void)state;
+  cfs_quota_init (&q, now);
+  cfs_quota_set_pace (&q, HOSTS);
+  cfs_quota_count_waiting (&q, "team", true);
+  assert_int_equal (cfs_quota_start_request (&q, &need, 1, now), 1);
+  assert_int_equal (cfs_quota_start_request (&q, &need, 1, later), 0);
+  cfs_quota_heartbeat_replied (&q, now, later);
+  assert_int_equal (cfs_quota_start_request (&q, &need, 1, later), 0);
+  cfs_quota_heartbeat_replied (&q, later, later);
+  assert_int_equal (cfs_quota_start_request (&q, &need, 1, later), 1);
+  cfs_quota_end (&q);
+}
+
 /* Hosts that all start at the same moment, as after a loss of power. */
 static void
 full_reports_of_all_hosts_are_spread (void **state)
@@ -296,6 +319,7 @@
     cmocka_unit_test (a_silent_team_is_not_reported),
     cmocka_unit_test (an_expired_share_is_not_renewed),
     cmocka_unit_test (the_load_of_the_leader_does_not_grow_with_the_hosts),
+    cmocka_unit_test (a_request_that_a_heartbeat_overtook_is_sent_again),
     cmocka_unit_test (full_reports_of_all_hosts_are_spread)
   };
 
