--- a/tests/unit/net_connect.c
+++ b/tests/unit/net_connect.c
@@ -8,6 +8,7 @@
 #include <apr_general.h>
 #include <apr_pools.h>
 #include <arpa/inet.h>
+#include <errno.h>
 #include <fcntl.h>
 #include <setjmp.h>
 #include <stdarg.h>
@@ -81,7 +82,8 @@
   for (int i = 1; i <= FILLERS; i++)
     {
       fds[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect (fds[i], (struct sockaddr *)&a, sizeof a);
+      assert_true (connect (fds[i], (struct sockaddr *)&a, sizeof a) == 0
+                   || errno == EINPROGRESS);
     }
 }
 
--- a/tests/unit/pool_load.c
+++ b/tests/unit/pool_load.c
@@ -182,7 +182,7 @@
   struct cfs_pool *pool = world.hosts[s->host].pool;
   struct cfs_statement read = { .verb = VERB_READ };
   const struct cfs_target *t;
-  bool opening;
+  bool opening = false;
 
   if (s->conn || world.now < s->retry_at)
     return;
