Reports for a service that is not configured are not recorded

Cause: the control leader recorded a report whatever service it named, and cfs_targets_apply() marks an earlier instance at the same address as gone. A report of another writer for "backup-agent" with the address of a replica hid that replica for up to 1.2 s. The failover then counted the instances that it knew, "all but one are paused", and promoted the log that lacked the commits.

Now the leader decides what a report is, in cfs_target_report_effect(): outdated, foreign, or current. A foreign one names no instance to use; it is acknowledged, logged and not recorded. An instance that is known keeps the right to say that it drains while its service is not configured.

Ruled out: the failover itself. With the crash alone the right replica is promoted.

--- a/src/process/control_fleet.c
+++ b/src/process/control_fleet.c
@@ -245,19 +245,6 @@
   return await_commit (c, control_propose (c, &cmd), on_result, tag, now);
 }
 
-static bool
-affects_routing (const struct cfs_target *known,
-                 const struct cfs_target *report)
-{
-  return !known || known->incarnation != report->incarnation || known->gone
-         || known->primary != report->primary
-         || known->draining != report->draining
-         || known->slots != report->slots
-         || strcmp (known->address, report->address) != 0
-         || strcmp (known->service, report->service) != 0
-         || strcmp (known->zone, report->zone) != 0;
-}
-
 /* Records when a target reported.  Returns whether the report is the newest of
    its sender. */
 static bool
@@ -277,6 +264,15 @@
   return true;
 }
 
+/* Whether the configuration in force names a service. */
+static bool
+service_is_configured (const struct cfs_control *c, const char *service)
+{
+  const struct cfs_catalog *catalog = cfs_leader_catalog (c->leader);
+
+  return catalog && cfs_catalog_service (catalog, service);
+}
+
 int
 cfs_control_report_target (struct cfs_control *c,
                            const struct cfs_target *report,
@@ -286,24 +282,27 @@
   const struct cfs_target *known
       = cfs_table_find (&c->state.targets, report->id);
   struct cfs_target next = *report;
-  bool newest;
+  enum cfs_report_effect effect;
 
   if (!cfs_raft_leader_confirmed (c->raft, now))
     return CFS_NOT_LEADER;
-  if (known && report->incarnation < known->incarnation)
+  effect = cfs_target_report_effect (
+      known, service_is_configured (c, report->service), &next);
+  if (effect == REPORT_OUTDATED)
     return CFS_BAD;
-  newest = record_heartbeat (c, report, now);
-  if (known && known->incarnation == report->incarnation)
+  if (effect == REPORT_FOREIGN)
     {
-      if (known->gone && report->sequence <= known->sequence)
-        return CFS_BAD;
-      if (next.sequence <= known->sequence)
-        next.sequence = known->sequence + 1;
-      next.draining |= known->draining;
-      if (!newest)
-        next.primary = known->primary;
+      cfs_log (CFS_NOTICE, PART,
+               "target=%s service=%s address=%s version=%" PRIu64
+               " report not used: the configuration has no such service",
+               report->id, report->service, report->address, c->state.version);
+      on_result (tag, true);
+      return CFS_OK;
     }
-  if (!affects_routing (known, &next))
+  if (!record_heartbeat (c, report, now) && known
+      && known->incarnation == report->incarnation)
+    next.primary = known->primary;
+  if (!cfs_target_affects_routing (known, &next))
     {
       on_result (tag, true);
       return CFS_OK;
--- a/src/process/targets.c
+++ b/src/process/targets.c
@@ -17,6 +17,45 @@
   return sequence > current->sequence;
 }
 
+bool
+cfs_target_affects_routing (const struct cfs_target *known,
+                            const struct cfs_target *next)
+{
+  return !known || known->incarnation != next->incarnation || known->gone
+         || known->primary != next->primary
+         || known->draining != next->draining || known->slots != next->slots
+         || strcmp (known->address, next->address) != 0
+         || strcmp (known->service, next->service) != 0
+         || strcmp (known->zone, next->zone) != 0;
+}
+
+/* Whether a report comes from the very process that an entry describes. */
+static bool
+is_same_process (const struct cfs_target *known,
+                 const struct cfs_target *report)
+{
+  return known && known->incarnation == report->incarnation
+         && strcmp (known->service, report->service) == 0
+         && strcmp (known->address, report->address) == 0;
+}
+
+enum cfs_report_effect
+cfs_target_report_effect (const struct cfs_target *known, bool configured,
+                          struct cfs_target *report)
+{
+  if (!configured && !is_same_process (known, report))
+    return REPORT_FOREIGN;
+  if (!known || report->incarnation > known->incarnation)
+    return REPORT_CURRENT;
+  if (report->incarnation < known->incarnation
+      || (known->gone && report->sequence <= known->sequence))
+    return REPORT_OUTDATED;
+  if (report->sequence <= known->sequence)
+    report->sequence = known->sequence + 1;
+  report->draining |= known->draining;
+  return REPORT_CURRENT;
+}
+
 void
 cfs_target_to_message (const struct cfs_target *t, Cfs__Target *out)
 {
@@ -95,11 +134,15 @@
 {
   struct cfs_target *t = cfs_table_find (targets, in->id);
   uint64_t claimed = 0;
+  bool arrives;
 
   if (!*in->id)
     return false;
   if (t && !cfs_target_is_newer (t, in->born, in->sequence))
     return false;
+  arrives = !in->gone
+            && (!t || t->gone || t->incarnation != in->born
+                || strcmp (t->address, in->address) != 0);
   if (!t)
     t = cfs_table_add (targets, in->id);
   if (in->primary)
@@ -107,7 +150,7 @@
   cfs_target_from_message (t, in);
   t->changed = index;
   t->claimed = claimed;
-  if (!in->gone)
+  if (arrives)
     supersede (targets, in, index);
   return true;
 }
--- a/src/process/targets.h
+++ b/src/process/targets.h
@@ -66,6 +66,40 @@
 bool cfs_target_is_newer (const struct cfs_target *current,
                           uint64_t incarnation, uint64_t sequence);
 
+/**
+ * enum cfs_report_effect - what the control leader does with a report
+ * @REPORT_CURRENT: the report describes the instance as it is now
+ * @REPORT_OUTDATED: a later incarnation is known, or this one has left
+ * @REPORT_FOREIGN: it names no instance to use, because its service is not
+ * configured
+ */
+enum cfs_report_effect
+{
+  REPORT_CURRENT,
+  REPORT_OUTDATED,
+  REPORT_FOREIGN
+};
+
+/**
+ * cfs_target_report_effect() - decides whether a report counts
+ * @known: entry of the reporting instance, or NULL
+ * @configured: whether the configuration names the service of the report
+ * @report: the report; a current one is completed to the entry that replaces
+ * @known: an instance that drains keeps draining, and sequence numbers
+ * increase
+ *
+ * An instance of a service that is no longer configured may still announce
+ * that it drains, since the service may be configured again.
+ */
+enum cfs_report_effect
+cfs_target_report_effect (const struct cfs_target *known, bool configured,
+                          struct cfs_target *report);
+
+/** cfs_target_affects_routing() - whether hosts must learn of the difference
+ * between an entry, which may be NULL, and the one that replaces it */
+bool cfs_target_affects_routing (const struct cfs_target *known,
+                                 const struct cfs_target *next);
+
 /** cfs_target_to_message() - fills a message that points into @target */
 void cfs_target_to_message (const struct cfs_target *target, Cfs__Target *out);
 
@@ -87,8 +121,9 @@
 /**
  * cfs_targets_apply() - applies a committed report
  * @targets: table of struct cfs_target
- * @in: report; ignored unless it is newer than the entry.  Any instance with
- * an earlier incarnation at the same address is marked as gone
+ * @in: report; ignored unless it is newer than the entry.  When an instance
+ * arrives at an address, any with an earlier incarnation there is marked as
+ * gone
  * @index: log index of the report
  *
  * Return: whether the table changed.
--- a/tests/process/sessions.sh
+++ b/tests/process/sessions.sh
@@ -129,6 +129,15 @@
 open_session 5 2 board k2 > "$RUN/open"
 expect "session on the other host reads its own write" "$(query 5 c1 'WRITE pan 1'; query 5 c2 'READ pan')" 'ROW 1\|COMPLETE'
 
+# post PATH BODY: sends a report or a leave to a control host and prints the
+# HTTP status.
+post() { curl -s -L --max-time 2 -o /dev/null -w '%{http_code}' -X POST -d "$2" "http://127.0.0.12:25001$1"; }
+# report_of SERVICE N BORN: prints a report with the address of instance tN.
+report_of() { echo "{\"service\":\"$1\",\"address\":\"127.0.0.1:$((PORT_BASE + 9 + $2))\",\"zone\":\"z$2\",\"version\":\"v1\",\"slots\":5,\"state\":\"ready\",\"cold_remaining_ms\":0,\"db_role\":\"replica\",\"sequence\":1,\"born\":$3}"; }
+expect "report for a service that is not configured is acknowledged" "$(post /v1/Instances.Heartbeat/agent-7 "$(report_of backup-agent 2 1800000000000)")" 200
+grep -qh "target=agent-7 .*report not used" "$RUN"/core*.log || fail "the log has no line for the report of agent-7"
+grep -qh "target=agent-7 .*change proposed" "$RUN"/core*.log && fail "the report of agent-7 is recorded"
+
 expect "older configuration document is accepted" "$(replace_config "$(config_document 4 '"k1"')")" 200
 expect "truncated configuration document is refused" "$(replace_config '{"version":9,"routes":')" 400
 expect "older document did not replace the newer one" "$(describe_config)" '"version":5'
--- /dev/null
+++ b/tests/unit/foreign_reports.c
@@ -0,0 +1,128 @@
+/*
+ * Reports and leaves that do not come from the instance they seem to speak
+ * of: of another writer, or of an earlier incarnation, delayed on their way.
+ * They must not hide an instance that runs, because a failover compares the
+ * logs of the instances that it knows.
+ */
+#include "../../src/process/log.h"
+#include "../world/failover.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#define SERVICE "db"
+
+/* Report of an instance at the address of the second instance of the
+   simulation. */
+static struct cfs_target
+make_report (const char *id, const char *service, uint64_t incarnation)
+{
+  struct cfs_target t = { .slots = 1, .incarnation = incarnation };
+
+  cfs_copy (t.id, sizeof t.id, id);
+  cfs_copy (t.service, sizeof t.service, service);
+  cfs_copy (t.address, sizeof t.address, "10.0.0.2:1");
+  cfs_copy (t.zone, sizeof t.zone, "z");
+  t.sequence = 1;
+  return t;
+}
+
+/* Runs the simulation until the primary and the second instance hold commits
+   that the third one lacks. */
+static void
+start_with_a_replica_behind (void)
+{
+  wf_start (4);
+  wf_run (3 * CFS_US_PER_S);
+  wf_cut_replication (2, true);
+  wf_run (CFS_US_PER_S);
+}
+
+/* Stops the primary and checks that the second instance takes over. */
+static void
+check_failover (void)
+{
+  wf_kill (0);
+  wf_run (8 * CFS_US_PER_S);
+  assert_null (wf_violation ());
+  assert_int_equal (wf_primary (), 1);
+  wf_end ();
+}
+
+/* LOST: the replica with all commits was taken for replaced, and the other one
+   was promoted. */
+static void
+a_report_for_another_service_hides_no_replica (void **state)
+{
+  struct cfs_target t = make_report ("agent-7", "backup-agent", 5);
+
+  (void)state;
+  start_with_a_replica_behind ();
+  assert_int_equal (wf_report (&t, false), REPORT_FOREIGN);
+  check_failover ();
+}
+
+/* LOST: the same, with the id of the replica itself. */
+static void
+a_report_moves_no_instance_to_another_service (void **state)
+{
+  struct cfs_target t = make_report ("t2", "backup-agent", 5);
+
+  (void)state;
+  start_with_a_replica_behind ();
+  assert_int_equal (wf_report (&t, false), REPORT_FOREIGN);
+  check_failover ();
+}
+
+/* A later version of the configuration names the service. */
+static void
+an_instance_is_used_once_its_service_is_configured (void **state)
+{
+  struct cfs_target t = make_report ("agent-7", "backup-agent", 5);
+  const struct cfs_target *known;
+
+  (void)state;
+  wf_start (4);
+  assert_int_equal (wf_report (&t, false), REPORT_FOREIGN);
+  assert_null (cfs_table_find (&wf_state ()->targets, "agent-7"));
+  t.sequence = 2;
+  assert_int_equal (wf_report (&t, true), REPORT_CURRENT);
+  known = cfs_table_find (&wf_state ()->targets, "agent-7");
+  assert_non_null (known);
+  assert_false (known->gone);
+  wf_end ();
+}
+
+/* The service may be configured again before the instance has left. */
+static void
+an_instance_drains_while_its_service_is_not_configured (void **state)
+{
+  struct cfs_target t = make_report ("t2", SERVICE, 1);
+  const struct cfs_target *known;
+
+  (void)state;
+  wf_start (4);
+  t.sequence = 2;
+  t.draining = true;
+  assert_int_equal (wf_report (&t, false), REPORT_CURRENT);
+  known = cfs_table_find (&wf_state ()->targets, "t2");
+  assert_true (known->draining);
+  wf_end ();
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_report_for_another_service_hides_no_replica),
+    cmocka_unit_test (a_report_moves_no_instance_to_another_service),
+    cmocka_unit_test (an_instance_is_used_once_its_service_is_configured),
+    cmocka_unit_test (an_instance_drains_while_its_service_is_not_configured)
+  };
+
+  cfs_log_open ("test", getenv ("TRACE") ? CFS_INFO : CFS_ERR);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/world/failover.c
+++ b/tests/world/failover.c
@@ -776,6 +776,32 @@
   world->instances[i].cut_from_leader = cut;
 }
 
+void
+wf_cut_replication (unsigned i, bool cut)
+{
+  world->instances[i].replication_cut = cut;
+}
+
+enum cfs_report_effect
+wf_report (const struct cfs_target *report, bool configured)
+{
+  const struct cfs_target *known
+      = cfs_table_find (&world->state.targets, report->id);
+  struct cfs_target next = *report;
+  enum cfs_report_effect effect
+      = cfs_target_report_effect (known, configured, &next);
+  Cfs__Target t;
+
+  if (effect != REPORT_CURRENT || !cfs_target_affects_routing (known, &next))
+    return effect;
+  while (world->committed < world->index)
+    step ();
+  cfs_target_to_message (&next, &t);
+  cfs_targets_apply (&world->state.targets, &t, ++world->index);
+  world->committed = world->index;
+  return effect;
+}
+
 void
 wf_hold_promotions (bool hold)
 {
--- a/tests/world/failover.h
+++ b/tests/world/failover.h
@@ -44,6 +44,16 @@
  * not from the hosts, or reconnects it */
 void wf_cut_from_leader (unsigned instance, bool cut);
 
+/** wf_cut_replication() - lets an instance neither send nor receive the log,
+ * or reconnects it */
+void wf_cut_replication (unsigned instance, bool cut);
+
+/** wf_report() - takes a report as the control leader does; returns what the
+ * leader does with it
+ * @configured: whether the configuration names the service of the report */
+enum cfs_report_effect wf_report (const struct cfs_target *report,
+                                  bool configured);
+
 /** wf_hold_promotions() - whether promotion requests get no result and are
  * not carried out before wf_carry_out() */
 void wf_hold_promotions (bool hold);
