A late leave of an earlier incarnation ends no later one

Cause: a leave had no order. cfs_control_remove_target() marked whatever boot ran under the id as gone, and refused its next report.

Now a leave that says of which incarnation it is ("born") ends that one and earlier ones; one of an earlier incarnation is refused with 400, as a late report is. A body without "born", or one that can't be read, is refused.

--- a/src/process/control.h
+++ b/src/process/control.h
@@ -146,10 +146,12 @@
 
 /**
  * cfs_control_remove_target() - handles a target's notice that it has left
+ * @incarnation: incarnation that has left, or 0 if the notice does not say
  *
  * Return: as of cfs_control_report_target().
  */
 int cfs_control_remove_target (struct cfs_control *control, const char *id,
+                               uint64_t incarnation,
                                void (*on_result) (void *tag, bool committed),
                                void *tag, int64_t now);
 
--- a/src/process/control_fleet.c
+++ b/src/process/control_fleet.c
@@ -312,6 +312,7 @@
 
 int
 cfs_control_remove_target (struct cfs_control *c, const char *id,
+                           uint64_t incarnation,
                            void (*on_result) (void *tag, bool committed),
                            void *tag, int64_t now)
 {
@@ -327,9 +328,9 @@
       return CFS_OK;
     }
   next = *known;
-  next.gone = true;
   if (b && b->incarnation == next.incarnation && b->sequence > next.sequence)
     next.sequence = b->sequence;
-  next.sequence++;
+  if (!cfs_target_mark_left (&next, incarnation))
+    return CFS_BAD;
   return await_commit (c, propose_target (c, &next), on_result, tag, now);
 }
--- a/src/process/targets.c
+++ b/src/process/targets.c
@@ -56,6 +56,21 @@
   return REPORT_CURRENT;
 }
 
+bool
+cfs_target_mark_left (struct cfs_target *t, uint64_t incarnation)
+{
+  if (incarnation && incarnation < t->incarnation)
+    return false;
+  if (incarnation > t->incarnation)
+    {
+      t->incarnation = incarnation;
+      t->sequence = 0;
+    }
+  t->gone = true;
+  t->sequence++;
+  return true;
+}
+
 void
 cfs_target_to_message (const struct cfs_target *t, Cfs__Target *out)
 {
--- a/src/process/targets.h
+++ b/src/process/targets.h
@@ -95,6 +95,15 @@
 cfs_target_report_effect (const struct cfs_target *known, bool configured,
                           struct cfs_target *report);
 
+/**
+ * cfs_target_mark_left() - marks an entry as gone because of a leave
+ * @target: entry of the instance
+ * @incarnation: incarnation that has left, or 0 if the leave does not say
+ *
+ * Return: whether it has changed; false if a later incarnation is known.
+ */
+bool cfs_target_mark_left (struct cfs_target *target, uint64_t incarnation);
+
 /** cfs_target_affects_routing() - whether hosts must learn of the difference
  * between an entry, which may be NULL, and the one that replaces it */
 bool cfs_target_affects_routing (const struct cfs_target *known,
--- a/tests/process/sessions.sh
+++ b/tests/process/sessions.sh
@@ -137,6 +137,9 @@
 expect "report for a service that is not configured is acknowledged" "$(post /v1/Instances.Heartbeat/agent-7 "$(report_of backup-agent 2 1800000000000)")" 200
 grep -qh "target=agent-7 .*report not used" "$RUN"/core*.log || fail "the log has no line for the report of agent-7"
 grep -qh "target=agent-7 .*change proposed" "$RUN"/core*.log && fail "the report of agent-7 is recorded"
+expect "leave of an earlier boot is refused" "$(post /v1/Instances.Leave/t2 "$(report_of db 2 1600000000000)")" 400
+expect "leave without born is refused" "$(post /v1/Instances.Leave/t2 '{"service":"db"}')" 400
+grep -qh "target=t2 .*gone=1 .*change proposed" "$RUN"/core*.log && fail "a leave of an earlier boot ended t2"
 
 expect "older configuration document is accepted" "$(replace_config "$(config_document 4 '"k1"')")" 200
 expect "truncated configuration document is refused" "$(replace_config '{"version":9,"routes":')" 400
--- a/tests/unit/foreign_reports.c
+++ b/tests/unit/foreign_reports.c
@@ -77,6 +77,41 @@
   check_failover ();
 }
 
+/* LOST: the leave of an earlier boot came after the next one had started, and
+   ended that one. */
+static void
+a_late_leave_ends_no_later_incarnation (void **state)
+{
+  struct cfs_target t = make_report ("t2", SERVICE, 2);
+
+  (void)state;
+  start_with_a_replica_behind ();
+  assert_int_equal (wf_report (&t, true), REPORT_CURRENT);
+  assert_false (wf_leave ("t2", 1));
+  check_failover ();
+}
+
+static void
+a_leave_ends_its_incarnation_and_earlier_ones (void **state)
+{
+  const struct cfs_target *known;
+  struct cfs_target t = make_report ("t2", SERVICE, 3);
+
+  (void)state;
+  wf_start (4);
+  known = cfs_table_find (&wf_state ()->targets, "t2");
+  assert_true (wf_leave ("t2", 4));
+  assert_true (known->gone);
+  assert_int_equal (wf_report (&t, true), REPORT_OUTDATED);
+  t.incarnation = 5;
+  assert_int_equal (wf_report (&t, true), REPORT_CURRENT);
+  known = cfs_table_find (&wf_state ()->targets, "t2");
+  assert_false (known->gone);
+  assert_true (wf_leave ("t2", 0));
+  assert_true (known->gone);
+  wf_end ();
+}
+
 /* A later version of the configuration names the service. */
 static void
 an_instance_is_used_once_its_service_is_configured (void **state)
@@ -119,6 +154,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_report_for_another_service_hides_no_replica),
     cmocka_unit_test (a_report_moves_no_instance_to_another_service),
+    cmocka_unit_test (a_late_leave_ends_no_later_incarnation),
+    cmocka_unit_test (a_leave_ends_its_incarnation_and_earlier_ones),
     cmocka_unit_test (an_instance_is_used_once_its_service_is_configured),
     cmocka_unit_test (an_instance_drains_while_its_service_is_not_configured)
   };
--- a/tests/unit/platform.c
+++ b/tests/unit/platform.c
@@ -151,6 +151,28 @@
   assert_false (report_decode (report, "", &t));
 }
 
+/* The platform's leaves say nothing of their sender. */
+static void
+leaves_are_decoded_or_rejected (void **state)
+{
+  static const char *const invalid[] = { "{}",
+                                         "[]",
+                                         "x",
+                                         "{\"born\":\"5\"}",
+                                         "{\"born\":0}",
+                                         "{\"born\":1.5}",
+                                         "{\"born\":5}x" };
+  uint64_t incarnation = 7;
+
+  (void)state;
+  assert_true (report_decode_leave ("", &incarnation));
+  assert_int_equal (incarnation, 0);
+  assert_true (report_decode_leave (report, &incarnation));
+  assert_int_equal (incarnation, 1700000000000);
+  for (size_t i = 0; i < sizeof invalid / sizeof invalid[0]; i++)
+    assert_false (report_decode_leave (invalid[i], &incarnation));
+}
+
 /* A caller's statement is sent to the instance as it is, after the word QUERY
    and an id. */
 static void
@@ -397,6 +419,7 @@
     cmocka_unit_test (invalid_documents_are_rejected),
     cmocka_unit_test (unknown_fields_are_ignored),
     cmocka_unit_test (reports_are_decoded_or_rejected),
+    cmocka_unit_test (leaves_are_decoded_or_rejected),
     cmocka_unit_test (statements_are_forwarded_unchanged),
     cmocka_unit_test (a_minimum_position_precedes_the_statement),
     cmocka_unit_test (mutated_input_never_crashes),
--- a/tests/world/failover.c
+++ b/tests/world/failover.c
@@ -782,6 +782,19 @@
   world->instances[i].replication_cut = cut;
 }
 
+/* Commits an entry after all that was proposed before. */
+static void
+commit_target (const struct cfs_target *target)
+{
+  Cfs__Target t;
+
+  while (world->committed < world->index)
+    step ();
+  cfs_target_to_message (target, &t);
+  cfs_targets_apply (&world->state.targets, &t, ++world->index);
+  world->committed = world->index;
+}
+
 enum cfs_report_effect
 wf_report (const struct cfs_target *report, bool configured)
 {
@@ -790,18 +803,24 @@
   struct cfs_target next = *report;
   enum cfs_report_effect effect
       = cfs_target_report_effect (known, configured, &next);
-  Cfs__Target t;
 
-  if (effect != REPORT_CURRENT || !cfs_target_affects_routing (known, &next))
-    return effect;
-  while (world->committed < world->index)
-    step ();
-  cfs_target_to_message (&next, &t);
-  cfs_targets_apply (&world->state.targets, &t, ++world->index);
-  world->committed = world->index;
+  if (effect == REPORT_CURRENT && cfs_target_affects_routing (known, &next))
+    commit_target (&next);
   return effect;
 }
 
+bool
+wf_leave (const char *id, uint64_t incarnation)
+{
+  struct cfs_target next
+      = *(struct cfs_target *)cfs_table_find (&world->state.targets, id);
+
+  if (!cfs_target_mark_left (&next, incarnation))
+    return false;
+  commit_target (&next);
+  return true;
+}
+
 void
 wf_hold_promotions (bool hold)
 {
--- a/tests/world/failover.h
+++ b/tests/world/failover.h
@@ -54,6 +54,10 @@
 enum cfs_report_effect wf_report (const struct cfs_target *report,
                                   bool configured);
 
+/** wf_leave() - takes the leave of an instance as the control leader does;
+ * returns whether it counts */
+bool wf_leave (const char *id, uint64_t incarnation);
+
 /** wf_hold_promotions() - whether promotion requests get no result and are
  * not carried out before wf_carry_out() */
 void wf_hold_promotions (bool hold);
