A report with any field missing names no instance

Cause: the decoder accepted a report without "born", "version" and "cold_remaining_ms". It claimed to be the primary, at an address where nothing listens; the newest claim takes the service, and an instance that claims to be primary is never dropped for silence. The entry is in the replicated log.

The stand-ins of sessions.sh and of the soak sent incomplete reports themselves; they send whole ones now.

Ruled out for this case: the kill. With the kill alone all is served.

--- a/src/process/targets.c
+++ b/src/process/targets.c
@@ -3,6 +3,9 @@
  * sequence number second, so a delayed report never overwrites what a later
  * incarnation sent.  The entry of an instance that is gone stays as a
  * tombstone for the same reason.
+ *
+ * An entry without an incarnation was recorded from an incomplete report, by a
+ * version that accepted those.  It names no instance and counts as gone.
  */
 #include "targets.h"
 
@@ -98,7 +101,7 @@
   t->slots = in->slots;
   t->primary = in->primary;
   t->draining = in->draining;
-  t->gone = in->gone;
+  t->gone = in->gone || !in->born;
   t->incarnation = in->born;
   t->sequence = in->sequence;
   t->changed = in->changed;
--- a/tests/process/sessions.sh
+++ b/tests/process/sessions.sh
@@ -59,7 +59,7 @@
 # the HTTP status.
 send_heartbeat() {
   curl -s -L --max-time 2 -o /dev/null -w '%{http_code}' -X POST \
-    -d "{\"service\":\"db\",\"address\":\"127.0.0.1:$((PORT_BASE + 9 + $1))\",\"zone\":\"z$1\",\"slots\":5,\"state\":\"ready\",\"db_role\":\"$2\",\"sequence\":$3,\"born\":1700000000000}" \
+    -d "{\"service\":\"db\",\"address\":\"127.0.0.1:$((PORT_BASE + 9 + $1))\",\"zone\":\"z$1\",\"version\":\"v1\",\"slots\":5,\"state\":\"ready\",\"cold_remaining_ms\":0,\"db_role\":\"$2\",\"sequence\":$3,\"born\":1700000000000}" \
     "http://127.0.0.1$1:25001/v1/Instances.Heartbeat/t$1"
 }
 
--- a/tests/soak/operator.c
+++ b/tests/soak/operator.c
@@ -140,7 +140,8 @@
   snprintf (path, sizeof path, "/v1/Instances.Heartbeat/t%u", i + 1);
   snprintf (body, sizeof body,
             "{\"service\":\"db\",\"address\":\"%s:%u\",\"zone\":\"z%u\","
-            "\"slots\":5,\"state\":\"%s\",\"db_role\":\"%s\","
+            "\"version\":\"v1\",\"slots\":5,\"state\":\"%s\","
+            "\"cold_remaining_ms\":0,\"db_role\":\"%s\","
             "\"sequence\":%llu,\"born\":%lld}",
             loopback_address (ADDRESS_GROUP + 1 + i), PORT_GROUP + i, i,
             fleet_is_draining (i) ? "draining" : "ready",
--- a/tests/unit/foreign_reports.c
+++ b/tests/unit/foreign_reports.c
@@ -112,6 +112,27 @@
   wf_end ();
 }
 
+/* RECOVER: an incomplete report that an earlier version recorded claims to be
+   the primary, and survives in log and snapshots. */
+static void
+an_entry_without_incarnation_is_no_primary (void **state)
+{
+  struct cfs_target t = make_report ("x-1", SERVICE, 0);
+  const struct cfs_state *s;
+  Cfs__Target m;
+
+  (void)state;
+  start_with_a_replica_behind ();
+  s = wf_state ();
+  cfs_copy (t.address, sizeof t.address, "10.0.0.9:1");
+  t.primary = true;
+  cfs_target_to_message (&t, &m);
+  cfs_targets_apply (&wf_state ()->targets, &m, 50);
+  assert_string_equal (
+      cfs_targets_primary (&s->targets, &s->failovers, SERVICE)->id, "t1");
+  check_failover ();
+}
+
 /* A later version of the configuration names the service. */
 static void
 an_instance_is_used_once_its_service_is_configured (void **state)
@@ -156,6 +177,7 @@
     cmocka_unit_test (a_report_moves_no_instance_to_another_service),
     cmocka_unit_test (a_late_leave_ends_no_later_incarnation),
     cmocka_unit_test (a_leave_ends_its_incarnation_and_earlier_ones),
+    cmocka_unit_test (an_entry_without_incarnation_is_no_primary),
     cmocka_unit_test (an_instance_is_used_once_its_service_is_configured),
     cmocka_unit_test (an_instance_drains_while_its_service_is_not_configured)
   };
--- a/tests/unit/platform.c
+++ b/tests/unit/platform.c
@@ -132,6 +132,15 @@
     { "1700000000000", "17.5" },
     { "\"zone\":\"z1\",", "" },
     { "}", "" },
+    { "\"version\":\"v1\",", "" },
+    { "\"v1\"", "1" },
+    { "\"cold_remaining_ms\":0,", "" },
+    { "\"cold_remaining_ms\":0", "\"cold_remaining_ms\":\"0\"" },
+    { "\"cold_remaining_ms\":0", "\"cold_remaining_ms\":-1" },
+    { ",\"born\":1700000000000", "" },
+    { "1700000000000", "0" },
+    { "1700000000000", "\"1700000000000\"" },
+    { "1700000000000", "null" },
   };
   struct cfs_target t;
 
