Odd entries of instances are refused, and recorded ones are not used

Other operators saw processes end, or stop following the list, after one odd entry: deeply nested, with a number too large, with a port out of range.

Looked for here: deep nesting (4 MiB of opening brackets, in reports, leaves and documents), numbers of 1e300 and 1e400, past 32 and 64 bits, and ports out of range were refused before, and no process ended. Not refused were a port with trailing bytes, bytes that are not UTF-8, and line breaks and control characters in ids, names and addresses. Id and service are written into the line that opens a connection to an instance, so these could add lines to it.

Now a name must be one word (cfs_is_word()), an address ends with its port, and an entry that an earlier version recorded with such a value counts as gone.

--- a/src/cfs.c
+++ b/src/cfs.c
@@ -5,6 +5,8 @@
  */
 #include "cfs.h"
 
+#include <glib.h>
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -75,6 +77,17 @@
   to[len] = '\0';
 }
 
+bool
+cfs_is_word (const char *text)
+{
+  if (!text || !*text || !g_utf8_validate (text, -1, NULL))
+    return false;
+  for (; *text; text++)
+    if ((unsigned char)*text <= ' ' || *text == 0x7f)
+      return false;
+  return true;
+}
+
 uint64_t
 cfs_hash (const void *data, size_t len, uint64_t seed)
 {
--- a/src/cfs.h
+++ b/src/cfs.h
@@ -126,6 +126,15 @@
  */
 void cfs_copy (char *to, size_t size, const char *from);
 
+/**
+ * cfs_is_word() - whether a text can be one word of a line
+ * @text: string, or NULL
+ *
+ * Return: whether it is not empty, is valid UTF-8, and has neither blanks nor
+ * control characters.
+ */
+bool cfs_is_word (const char *text);
+
 /**
  * cfs_hash() - 64-bit FNV-1a with a final mixing step
  * @data: bytes
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -333,10 +333,11 @@
 cfs_split_address (const char *text, char *host, size_t size)
 {
   const char *colon = strrchr (text, ':');
-  long port = colon ? strtol (colon + 1, NULL, 10) : 0;
+  size_t digits = colon ? strspn (colon + 1, "0123456789") : 0;
+  long port = digits ? strtol (colon + 1, NULL, 10) : 0;
 
-  if (!colon || port < 1 || port > UINT16_MAX
-      || (size_t)(colon - text) >= size)
+  if (!digits || colon[1 + digits] || port < 1 || port > UINT16_MAX
+      || colon == text || (size_t)(colon - text) >= size)
     return 0;
   memcpy (host, text, (size_t)(colon - text));
   host[colon - text] = '\0';
--- a/src/process/targets.c
+++ b/src/process/targets.c
@@ -4,11 +4,14 @@
  * incarnation sent.  The entry of an instance that is gone stays as a
  * tombstone for the same reason.
  *
- * An entry without an incarnation was recorded from an incomplete report, by a
- * version that accepted those.  It names no instance and counts as gone.
+ * An entry without an incarnation, or with an address or a name that cannot be
+ * one, was recorded by a version that accepted such reports.  It names no
+ * instance and counts as gone.
  */
 #include "targets.h"
 
+#include "settings.h"
+
 #include <string.h>
 
 bool
@@ -92,6 +95,18 @@
   out->claimed = t->claimed;
 }
 
+/* Whether an entry can name an instance to use.  Id, service and zone are
+   written into lines. */
+static bool
+is_usable (const char *id, const Cfs__Target *in)
+{
+  char host[CFS_NAME_MAX];
+
+  return in->born && cfs_is_word (id) && cfs_is_word (in->service)
+         && cfs_is_word (in->zone)
+         && cfs_split_address (in->address, host, sizeof host);
+}
+
 void
 cfs_target_from_message (struct cfs_target *t, const Cfs__Target *in)
 {
@@ -101,7 +116,7 @@
   t->slots = in->slots;
   t->primary = in->primary;
   t->draining = in->draining;
-  t->gone = in->gone || !in->born;
+  t->gone = in->gone || !is_usable (t->id, in);
   t->incarnation = in->born;
   t->sequence = in->sequence;
   t->changed = in->changed;
--- a/tests/unit/foreign_reports.c
+++ b/tests/unit/foreign_reports.c
@@ -112,19 +112,19 @@
   wf_end ();
 }
 
-/* RECOVER: an incomplete report that an earlier version recorded claims to be
-   the primary, and survives in log and snapshots. */
+/* Applies an entry that an earlier version recorded, and that claims to be the
+   primary. */
 static void
-an_entry_without_incarnation_is_no_primary (void **state)
+check_recorded_claim (const char *id, uint64_t incarnation,
+                      const char *address)
 {
-  struct cfs_target t = make_report ("x-1", SERVICE, 0);
+  struct cfs_target t = make_report (id, SERVICE, incarnation);
   const struct cfs_state *s;
   Cfs__Target m;
 
-  (void)state;
   start_with_a_replica_behind ();
   s = wf_state ();
-  cfs_copy (t.address, sizeof t.address, "10.0.0.9:1");
+  cfs_copy (t.address, sizeof t.address, address);
   t.primary = true;
   cfs_target_to_message (&t, &m);
   cfs_targets_apply (&wf_state ()->targets, &m, 50);
@@ -133,6 +133,17 @@
   check_failover ();
 }
 
+/* RECOVER: the entry survives in log and snapshots. */
+static void
+an_entry_that_names_no_instance_is_no_primary (void **state)
+{
+  (void)state;
+  check_recorded_claim ("x-1", 0, "10.0.0.9:1");
+  check_recorded_claim ("x-1", 5, "10.0.0.9:99999");
+  check_recorded_claim ("x-1", 5, "10.0.0.9:1x");
+  check_recorded_claim ("x-1\r\nQUERY", 5, "10.0.0.9:1");
+}
+
 /* A later version of the configuration names the service. */
 static void
 an_instance_is_used_once_its_service_is_configured (void **state)
@@ -177,7 +188,7 @@
     cmocka_unit_test (a_report_moves_no_instance_to_another_service),
     cmocka_unit_test (a_late_leave_ends_no_later_incarnation),
     cmocka_unit_test (a_leave_ends_its_incarnation_and_earlier_ones),
-    cmocka_unit_test (an_entry_without_incarnation_is_no_primary),
+    cmocka_unit_test (an_entry_that_names_no_instance_is_no_primary),
     cmocka_unit_test (an_instance_is_used_once_its_service_is_configured),
     cmocka_unit_test (an_instance_drains_while_its_service_is_not_configured)
   };
--- a/tests/unit/platform.c
+++ b/tests/unit/platform.c
@@ -21,6 +21,7 @@
 
 #define MUTATIONS 20000
 #define ENDLESS_LINES 20000
+#define NESTED_BYTES (4u << 20)
 
 static const char document[]
     = "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"database\":\"sheet\","
@@ -141,6 +142,21 @@
     { "1700000000000", "0" },
     { "1700000000000", "\"1700000000000\"" },
     { "1700000000000", "null" },
+    { "\"slots\":2", "\"slots\":1e400" },
+    { "\"slots\":2", "\"slots\":4294967298" },
+    { "\"sequence\":4", "\"sequence\":18446744073709551616" },
+    { "1700000000000", "1e300" },
+    { "10.0.0.9:8080", "10.0.0.9:0" },
+    { "10.0.0.9:8080", "10.0.0.9:65536" },
+    { "10.0.0.9:8080", "10.0.0.9:18446744073709559696" },
+    { "10.0.0.9:8080", "10.0.0.9:-1" },
+    { "10.0.0.9:8080", "10.0.0.9:8080x" },
+    { "10.0.0.9:8080", "10.0.0.9:8080\\n" },
+    { "10.0.0.9:8080", ":8080" },
+    { "10.0.0.9:8080", "10.0.0.9\\r\\n:8080" },
+    { "\"db\"", "\"db\\r\\nQUERY\"" },
+    { "\"db\"", "\"db\xff\"" },
+    { "\"z1\"", "\"z\\u0001\"" },
   };
   struct cfs_target t;
 
@@ -158,6 +174,29 @@
       g_free (text);
     }
   assert_false (report_decode (report, "", &t));
+  assert_false (report_decode (report, "i-1\r\nQUERY", &t));
+}
+
+/* A text of opening brackets, as deep as a request may be long. */
+static void
+deep_nesting_is_rejected (void **state)
+{
+  static const char *const opening[] = { "[", "{\"a\":", "{\"service\":[" };
+  uint64_t incarnation;
+  struct cfs_target t;
+
+  (void)state;
+  for (size_t i = 0; i < sizeof opening / sizeof opening[0]; i++)
+    {
+      GString *text = g_string_new (NULL);
+
+      while (text->len < NESTED_BYTES)
+        g_string_append (text, opening[i]);
+      assert_false (report_decode (text->str, "i-1", &t));
+      assert_false (report_decode_leave (text->str, &incarnation));
+      assert_null (document_decode (text->str, NULL));
+      g_string_free (text, TRUE);
+    }
 }
 
 /* The platform's leaves say nothing of their sender. */
@@ -428,6 +467,7 @@
     cmocka_unit_test (invalid_documents_are_rejected),
     cmocka_unit_test (unknown_fields_are_ignored),
     cmocka_unit_test (reports_are_decoded_or_rejected),
+    cmocka_unit_test (deep_nesting_is_rejected),
     cmocka_unit_test (leaves_are_decoded_or_rejected),
     cmocka_unit_test (statements_are_forwarded_unchanged),
     cmocka_unit_test (a_minimum_position_precedes_the_statement),
