A storage call that fails halfway no longer spoils the log on disk

Cause: a call that fails halfway was taken for one that did nothing; size, offsets and descriptor in memory no longer described the file. The same held for a truncation whose sync fails and for an append that can't be cut back.

Now the log in memory follows each call that took effect, and what a failure left in the file is removed before anything is appended (settle_log()). Entries of a truncation that failed count as removed, in memory too: they were never committed. Full disks are logged once, not with each tick; a line of the audit trail that can't be written follows later.

--- a/src/process/control.c
+++ b/src/process/control.c
@@ -15,47 +15,57 @@
 #include <string.h>
 
 #define PART "control"
+/* Lines of the audit trail written at a time, each with a sync. */
+#define AUDIT_BATCH 8
 #define HTTP_OK 200
 #define HTTP_UNAVAILABLE 503
 
+/* Logs when the disk begins to refuse writes, and when it takes them again.
+   Until then this host can neither vote nor store what a leader must. */
 static int
-save_vote (void *ctx, uint64_t term, uint64_t vote)
+note_storage (struct cfs_control *c, const char *what, int rc)
 {
-  const struct cfs_control *c = ctx;
-  int rc = cfs_disk_save_vote (c->disk, term, vote);
+  bool failed = rc != CFS_OK;
 
-  if (rc != CFS_OK)
-    cfs_log (CFS_ERR, PART,
-             "cannot write the vote of term %" PRIu64 " to disk, status %d",
-             term, rc);
+  if (failed && !c->storage_failed)
+    cfs_log (CFS_ERR, PART, "cannot write %s to disk, status %d", what, rc);
+  else if (!failed && c->storage_failed)
+    cfs_log (CFS_NOTICE, PART, "the disk takes writes again");
+  c->storage_failed = failed;
   return rc;
 }
 
+static int
+save_vote (void *ctx, uint64_t term, uint64_t vote)
+{
+  struct cfs_control *c = ctx;
+
+  return note_storage (c, "a vote", cfs_disk_save_vote (c->disk, term, vote));
+}
+
 static int
 append (void *ctx, const struct cfs_raft_entry *entries, size_t count)
 {
-  const struct cfs_control *c = ctx;
-  int rc = cfs_disk_append (c->disk, entries, count);
+  struct cfs_control *c = ctx;
 
-  if (rc != CFS_OK)
-    cfs_log (CFS_ERR, PART, "cannot write log entries to disk, status %d", rc);
-  return rc;
+  return note_storage (c, "log entries",
+                       cfs_disk_append (c->disk, entries, count));
 }
 
 static int
 truncate_log (void *ctx, uint64_t from)
 {
-  const struct cfs_control *c = ctx;
+  struct cfs_control *c = ctx;
 
-  return cfs_disk_truncate (c->disk, from);
+  return note_storage (c, "a truncation", cfs_disk_truncate (c->disk, from));
 }
 
 static int
 save_snapshot (void *ctx, const struct cfs_raft_snapshot *s)
 {
-  const struct cfs_control *c = ctx;
+  struct cfs_control *c = ctx;
 
-  return cfs_disk_save_snapshot (c->disk, s);
+  return note_storage (c, "a snapshot", cfs_disk_save_snapshot (c->disk, s));
 }
 
 static const struct cfs_control_host *
@@ -88,12 +98,13 @@
     cfs_net_send (c->net, host, c->settings->peer_port, &out);
 }
 
-static void
+static bool
 write_audit (struct cfs_control *c, const struct cfs_version *v)
 {
   cJSON *line = cJSON_CreateObject ();
   char *text;
   char *out;
+  bool ok;
 
   cJSON_AddNumberToObject (line, "version", (double)v->number);
   cJSON_AddNumberToObject (line, "from", (double)v->number - 1);
@@ -103,29 +114,48 @@
   cJSON_AddStringToObject (line, "patch", v->patch);
   text = cJSON_PrintUnformatted (line);
   out = g_strdup_printf ("%s\n", text);
-  cfs_disk_append_audit (c->disk, out);
+  ok = note_storage (c, "the audit trail",
+                     cfs_disk_append_audit (c->disk, out) ? CFS_OK : CFS_IO)
+       == CFS_OK;
   g_free (out);
   free (text);
   cJSON_Delete (line);
-  c->audited_version = v->number;
+  return ok;
+}
+
+/* Writes versions that the audit trail lacks.  Those that cannot be written,
+   or are too many at a time, follow with the next commands. */
+static void
+audit_versions (struct cfs_control *c)
+{
+  unsigned left = AUDIT_BATCH;
+
+  for (size_t i = 0; i < c->state.version_count && left > 0; i++)
+    {
+      const struct cfs_version *v = &c->state.versions[i];
+
+      if (v->number <= c->audited_version)
+        continue;
+      if (!write_audit (c, v))
+        return;
+      left--;
+      c->audited_version = v->number;
+      cfs_log (CFS_NOTICE, PART,
+               "configuration version %" PRIu64 " accepted from %s", v->number,
+               v->who);
+    }
 }
 
 static void
 apply (void *ctx, const struct cfs_raft_entry *e)
 {
   struct cfs_control *c = ctx;
-  const struct cfs_version *v;
 
   if (cfs_state_apply (&c->state, e->data, e->len, e->index) != CFS_OK)
     cfs_log (CFS_ERR, PART, "log entry %" PRIu64 " cannot be decoded",
              e->index);
-  if (c->state.version <= c->audited_version || c->state.version_count == 0)
-    return;
-  v = &c->state.versions[c->state.version_count - 1];
-  write_audit (c, v);
-  cfs_log (CFS_NOTICE, PART,
-           "configuration version %" PRIu64 " accepted from %s", v->number,
-           v->who);
+  if (c->state.version > c->audited_version)
+    audit_versions (c);
 }
 
 static void
--- a/src/process/control_int.h
+++ b/src/process/control_int.h
@@ -85,6 +85,7 @@
   size_t pending_count;
   size_t pending_cap;
   uint64_t audited_version;
+  bool storage_failed;
   enum cfs_raft_role logged_role;
   struct control_load load;
   struct fleet_state fleet;
--- a/src/process/disk.c
+++ b/src/process/disk.c
@@ -1,20 +1,25 @@
 /*
- * Record: length, checksum, index, term, kind, 4 zero bytes, data; integers
- * are little-endian.  The file offset of each record is kept in memory, so a
- * truncation is a single ftruncate().
+ * The file offset of each record of the log is kept in memory, so a truncation
+ * is a single ftruncate().
  *
  * Saving a snapshot replaces first the snapshot file, then the log by a copy
  * without the covered entries; each replacement is atomic.  After a crash
- * between the two the log still holds covered entries, which are skipped on
- * opening.
+ * between the two, or if the second fails, the log still holds covered
+ * entries, which are skipped on opening.
+ *
+ * A disk without room may take part of a write, or a rename but not its sync.
+ * What such a failure leaves in the log file is removed before anything is
+ * appended, so that there is never anything but records in it.
  */
 #include "disk.h"
 
+#include "disk_record.h"
 #include "file.h"
 #include "log.h"
 
 #include <errno.h>
 #include <fcntl.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -22,8 +27,6 @@
 #include <unistd.h>
 
 #define PART "disk"
-#define RECORD_HEADER_BYTES 32
-#define RECORD_DATA_MAX (64u << 20)
 #define VOTE_FILE "vote"
 #define LOG_FILE "log"
 #define SNAPSHOT_FILE "snapshot"
@@ -41,7 +44,9 @@
  * @id: identity of the member
  * @log: descriptor of the log file
  * @audit: descriptor of the audit file
- * @end: size of the log file in bytes, without an incomplete last record
+ * @end: size of the log in bytes, without an incomplete last record
+ * @unsettled: the file may hold more than the log, or its name may not be
+ * durable yet
  * @offsets: offsets of the log records, in log order
  */
 struct cfs_disk
@@ -51,6 +56,7 @@
   int log;
   int audit;
   off_t end;
+  bool unsettled;
   struct record_offset *offsets;
   size_t count;
   size_t cap;
@@ -62,37 +68,6 @@
   return g_quark_from_static_string ("cfs-disk");
 }
 
-static void
-put64 (uint8_t *p, uint64_t v)
-{
-  for (int i = 0; i < 8; i++)
-    p[i] = (uint8_t)(v >> (8 * i));
-}
-
-static uint64_t
-get64 (const uint8_t *p)
-{
-  uint64_t v = 0;
-
-  for (int i = 7; i >= 0; i--)
-    v = (v << 8) | p[i];
-  return v;
-}
-
-static void
-put32 (uint8_t *p, uint32_t v)
-{
-  for (int i = 0; i < 4; i++)
-    p[i] = (uint8_t)(v >> (8 * i));
-}
-
-static uint32_t
-get32 (const uint8_t *p)
-{
-  return (uint32_t)p[0] | ((uint32_t)p[1] << 8) | ((uint32_t)p[2] << 16)
-         | ((uint32_t)p[3] << 24);
-}
-
 static bool
 set_error (GError **error, const char *folder, const char *file,
            const char *what)
@@ -101,50 +76,6 @@
   return false;
 }
 
-static size_t
-encode_record (const struct cfs_raft_entry *e, uint8_t *out)
-{
-  put32 (out, e->len);
-  put64 (out + 8, e->index);
-  put64 (out + 16, e->term);
-  put32 (out + 24, e->kind);
-  put32 (out + 28, 0);
-  if (e->len)
-    memcpy (out + RECORD_HEADER_BYTES, e->data, e->len);
-  put32 (out + 4, (uint32_t)cfs_hash (
-                      out + 8, RECORD_HEADER_BYTES - 8 + e->len, e->len + 1));
-  return RECORD_HEADER_BYTES + e->len;
-}
-
-/* Size of the record at @p, or 0 if it is incomplete or its checksum is
-   wrong. */
-static size_t
-valid_record_size (const uint8_t *p, size_t left)
-{
-  uint32_t len;
-
-  if (left < RECORD_HEADER_BYTES)
-    return 0;
-  len = get32 (p);
-  if (len > RECORD_DATA_MAX || left < RECORD_HEADER_BYTES + (size_t)len)
-    return 0;
-  if (get32 (p + 4)
-      != (uint32_t)cfs_hash (p + 8, RECORD_HEADER_BYTES - 8 + len, len + 1))
-    return 0;
-  return RECORD_HEADER_BYTES + (size_t)len;
-}
-
-/* Whether any valid record starts after an invalid one: then the log is
-   corrupted in the middle, and not just cut short by a crash. */
-static bool
-valid_record_follows (const uint8_t *p, size_t left)
-{
-  for (size_t i = 1; i + RECORD_HEADER_BYTES <= left; i++)
-    if (valid_record_size (p + i, left - i))
-      return true;
-  return false;
-}
-
 static void
 add_offset (struct cfs_disk *d, uint64_t index, off_t offset)
 {
@@ -162,13 +93,7 @@
 
   cfs_grow (&initial->entries, cap, initial->count, sizeof *initial->entries);
   e = &initial->entries[initial->count++];
-  e->len = get32 (p);
-  e->index = get64 (p + 8);
-  e->term = get64 (p + 16);
-  e->kind = get32 (p + 24);
-  e->data = cfs_alloc (e->len);
-  if (e->len)
-    memcpy (e->data, p + RECORD_HEADER_BYTES, e->len);
+  disk_record_decode (p, e);
 }
 
 /* Reads the entries after the snapshot.  Loop invariant: all records before
@@ -187,18 +112,18 @@
     return set_error (error, d->folder, LOG_FILE, "cannot be read");
   while (offset < len)
     {
-      size_t n = valid_record_size (data + offset, len - offset);
+      size_t n = disk_record_size (data + offset, len - offset);
       uint64_t index;
 
       if (n == 0)
         {
-          if (valid_record_follows (data + offset, len - offset))
+          if (disk_record_follows (data + offset, len - offset))
             ok = set_error (
                 error, d->folder, LOG_FILE,
                 "corrupted before the last record; replace this disk");
           break;
         }
-      index = get64 (data + offset + 8);
+      index = disk_get64 (data + offset + 8);
       if (index > initial->snapshot.index)
         {
           if (index != initial->snapshot.index + initial->count + 1)
@@ -251,8 +176,8 @@
   e.len = (uint32_t)cfs__raft_msg__get_packed_size (&m);
   e.data = cfs_alloc (e.len);
   cfs__raft_msg__pack (&m, e.data);
-  *out = cfs_alloc (RECORD_HEADER_BYTES + e.len);
-  len = encode_record (&e, *out);
+  *out = cfs_alloc (DISK_RECORD_HEADER_BYTES + e.len);
+  len = disk_record_encode (&e, *out);
   free (e.data);
   return len;
 }
@@ -293,9 +218,9 @@
     return true;
   if (status == CFS_FILE_UNREADABLE)
     return set_error (error, d->folder, SNAPSHOT_FILE, "cannot be read");
-  if (valid_record_size (data, len) == len)
-    m = cfs__raft_msg__unpack (NULL, len - RECORD_HEADER_BYTES,
-                               data + RECORD_HEADER_BYTES);
+  if (disk_record_size (data, len) == len)
+    m = cfs__raft_msg__unpack (NULL, len - DISK_RECORD_HEADER_BYTES,
+                               data + DISK_RECORD_HEADER_BYTES);
   free (data);
   if (!m)
     return set_error (error, d->folder, SNAPSHOT_FILE,
@@ -310,10 +235,10 @@
 {
   uint8_t data[VOTE_BYTES];
 
-  put64 (data, id);
-  put64 (data + 8, term);
-  put64 (data + 16, vote);
-  put64 (data + 24, cfs_hash (data, 24, 1));
+  disk_put64 (data, id);
+  disk_put64 (data + 8, term);
+  disk_put64 (data + 16, vote);
+  disk_put64 (data + 24, cfs_hash (data, 24, 1));
   return cfs_file_replace (folder, VOTE_FILE, data, sizeof data);
 }
 
@@ -326,13 +251,13 @@
   enum cfs_file_status status
       = cfs_file_read (d->folder, VOTE_FILE, &data, &len);
   bool valid = status == CFS_FILE_READ && len == VOTE_BYTES
-               && get64 (data + 24) == cfs_hash (data, 24, 1);
+               && disk_get64 (data + 24) == cfs_hash (data, 24, 1);
 
   if (valid)
     {
-      initial->id = get64 (data);
-      initial->term = get64 (data + 8);
-      initial->vote = get64 (data + 16);
+      initial->id = disk_get64 (data);
+      initial->term = disk_get64 (data + 8);
+      initial->vote = disk_get64 (data + 16);
     }
   else if (status == CFS_FILE_READ)
     set_error (error, d->folder, VOTE_FILE, "corrupted; replace this disk");
@@ -433,6 +358,21 @@
   return write_vote (d->folder, d->id, term, vote) ? CFS_OK : CFS_IO;
 }
 
+/* Removes from the log file what is not part of the log, after a write,
+   truncation or replacement that failed halfway.  Nothing is appended before
+   this has succeeded. */
+static bool
+settle_log (struct cfs_disk *d)
+{
+  if (!d->unsettled)
+    return true;
+  if (ftruncate (d->log, d->end) != 0 || !cfs_file_sync (d->log)
+      || !cfs_file_sync_folder (d->folder))
+    return false;
+  d->unsettled = false;
+  return true;
+}
+
 int
 cfs_disk_append (struct cfs_disk *d, const struct cfs_raft_entry *entries,
                  size_t count)
@@ -442,23 +382,25 @@
   uint8_t *data;
   bool ok;
 
+  if (!settle_log (d))
+    return CFS_IO;
   for (size_t i = 0; i < count; i++)
-    total += RECORD_HEADER_BYTES + entries[i].len;
+    total += DISK_RECORD_HEADER_BYTES + entries[i].len;
   data = cfs_alloc (total);
   for (size_t i = 0; i < count; i++)
-    used += encode_record (&entries[i], data + used);
+    used += disk_record_encode (&entries[i], data + used);
   ok = cfs_file_write (d->log, data, used) && cfs_file_sync (d->log);
   free (data);
   if (!ok)
     {
-      if (ftruncate (d->log, d->end) != 0)
-        return CFS_CORRUPT;
+      d->unsettled = true;
+      settle_log (d);
       return CFS_IO;
     }
   for (size_t i = 0; i < count; i++)
     {
       add_offset (d, entries[i].index, d->end);
-      d->end += (off_t)(RECORD_HEADER_BYTES + entries[i].len);
+      d->end += (off_t)(DISK_RECORD_HEADER_BYTES + entries[i].len);
     }
   return CFS_OK;
 }
@@ -470,17 +412,17 @@
 
   while (keep > 0 && d->offsets[keep - 1].index >= from)
     keep--;
-  if (keep == d->count)
-    return CFS_OK;
-  if (ftruncate (d->log, d->offsets[keep].offset) != 0
-      || !cfs_file_sync (d->log))
-    return CFS_IO;
-  d->end = d->offsets[keep].offset;
-  d->count = keep;
-  return CFS_OK;
+  if (keep < d->count)
+    {
+      d->end = d->offsets[keep].offset;
+      d->count = keep;
+      d->unsettled = true;
+    }
+  return settle_log (d) ? CFS_OK : CFS_IO;
 }
 
-/* Replaces the log file by one with the entries after @index only. */
+/* Replaces the log file by one with the entries after @index only.  Once it is
+   renamed, entries are appended to the new file. */
 static bool
 rewrite_log (struct cfs_disk *d, uint64_t index)
 {
@@ -495,19 +437,21 @@
   while (first < d->count && d->offsets[first].index <= index)
     first++;
   cut = first < d->count ? d->offsets[first].offset : d->end;
-  if ((off_t)len < d->end
-      || !cfs_file_replace (d->folder, LOG_FILE, data + cut,
-                            (size_t)(d->end - cut)))
-    {
-      free (data);
-      return false;
-    }
+  fd = (off_t)len < d->end
+           ? -1
+           : cfs_file_write_new (d->folder, LOG_FILE, data + cut,
+                                 (size_t)(d->end - cut));
   free (data);
-  fd = cfs_file_open (d->folder, LOG_FILE, O_RDWR | O_APPEND);
   if (fd < 0)
     return false;
+  if (!cfs_file_rename_new (d->folder, LOG_FILE))
+    {
+      close (fd);
+      return false;
+    }
   close (d->log);
   d->log = fd;
+  d->unsettled = !cfs_file_sync_folder (d->folder);
   d->end -= cut;
   d->count -= first;
   for (size_t i = 0; i < d->count; i++)
@@ -522,25 +466,38 @@
 cfs_disk_save_snapshot (struct cfs_disk *d, const struct cfs_raft_snapshot *s)
 {
   uint8_t *data;
-  size_t len = pack_snapshot (s, &data);
-  bool ok = cfs_file_replace (d->folder, SNAPSHOT_FILE, data, len);
+  size_t len;
+  bool ok;
 
+  if (!settle_log (d))
+    return CFS_IO;
+  len = pack_snapshot (s, &data);
+  ok = cfs_file_replace (d->folder, SNAPSHOT_FILE, data, len);
   free (data);
   if (!ok)
     return CFS_IO;
-  return rewrite_log (d, s->index) ? CFS_OK : CFS_CORRUPT;
+  if (!rewrite_log (d, s->index))
+    cfs_log (CFS_WARNING, PART,
+             "the log keeps the entries up to %" PRIu64
+             ", which the snapshot covers: %s",
+             s->index, strerror (errno));
+  return CFS_OK;
 }
 
-void
+bool
 cfs_disk_append_audit (struct cfs_disk *d, const char *line)
 {
-  if (!cfs_file_write (d->audit, (const uint8_t *)line, strlen (line)))
-    {
-      cfs_log (CFS_WARNING, PART, "cannot write to the audit file: %s",
-               strerror (errno));
-      return;
-    }
-  cfs_file_sync (d->audit);
+  off_t end = lseek (d->audit, 0, SEEK_END);
+
+  if (end >= 0
+      && cfs_file_write (d->audit, (const uint8_t *)line, strlen (line))
+      && cfs_file_sync (d->audit))
+    return true;
+  if (end < 0 || ftruncate (d->audit, end) != 0)
+    cfs_log (CFS_WARNING, PART,
+             "the audit file may end with part of a line: %s",
+             strerror (errno));
+  return false;
 }
 
 uint64_t
--- a/src/process/disk.h
+++ b/src/process/disk.h
@@ -60,29 +60,33 @@
 /**
  * cfs_disk_append() - appends entries to the log
  *
- * Return: CFS_OK; CFS_IO if nothing was appended; CFS_CORRUPT if an incomplete
- * record may be left at the end.
+ * Return: CFS_OK; CFS_IO if nothing was appended.  Entries that were not
+ * appended may be there after a restart all the same.
  */
 int cfs_disk_append (struct cfs_disk *disk,
                      const struct cfs_raft_entry *entries, size_t count);
 
-/** cfs_disk_truncate() - removes entries with index @from and above; CFS_OK or
- * CFS_IO */
+/**
+ * cfs_disk_truncate() - removes entries with index @from and above
+ *
+ * Return: CFS_OK; CFS_IO if they may be there after a restart.  In both cases
+ * the next entry appended follows the one before @from.
+ */
 int cfs_disk_truncate (struct cfs_disk *disk, uint64_t from);
 
 /**
  * cfs_disk_save_snapshot() - replaces the snapshot and removes the entries
  * that it covers
  *
- * Return: CFS_OK; CFS_IO if storing the snapshot failed; CFS_CORRUPT if it is
- * stored but the log could not be rewritten.
+ * Entries that cannot be removed are logged and skipped on opening.
+ * Return: CFS_OK, or CFS_IO if storing the snapshot failed.
  */
 int cfs_disk_save_snapshot (struct cfs_disk *disk,
                             const struct cfs_raft_snapshot *snapshot);
 
-/** cfs_disk_append_audit() - appends a line to the audit trail; a failed
- * write is ignored */
-void cfs_disk_append_audit (struct cfs_disk *disk, const char *line);
+/** cfs_disk_append_audit() - appends a line to the audit trail; false if it
+ * is not durable */
+bool cfs_disk_append_audit (struct cfs_disk *disk, const char *line);
 
 /** cfs_disk_last_audited_version() - last version in the audit trail, or 0 */
 uint64_t cfs_disk_last_audited_version (struct cfs_disk *disk);
--- a/src/process/file.c
+++ b/src/process/file.c
@@ -73,23 +73,54 @@
   return ok;
 }
 
+static void
+new_file_path (char *path, const char *folder, const char *file)
+{
+  snprintf (path, PATH_BYTES, "%s/%s.new", folder, file);
+}
+
+int
+cfs_file_write_new (const char *folder, const char *file, const uint8_t *data,
+                    size_t len)
+{
+  char path[PATH_BYTES];
+  int fd;
+
+  new_file_path (path, folder, file);
+  fd = open (path, O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
+  if (fd < 0)
+    return -1;
+  if (cfs_file_write (fd, data, len) && cfs_file_sync (fd))
+    return fd;
+  close (fd);
+  unlink (path);
+  return -1;
+}
+
 bool
-cfs_file_replace (const char *folder, const char *file, const uint8_t *data,
-                  size_t len)
+cfs_file_rename_new (const char *folder, const char *file)
 {
   char from[PATH_BYTES];
   char to[PATH_BYTES];
-  int fd;
-  bool ok;
 
-  snprintf (from, sizeof from, "%s/%s.new", folder, file);
+  new_file_path (from, folder, file);
   snprintf (to, sizeof to, "%s/%s", folder, file);
-  fd = open (from, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (rename (from, to) == 0)
+    return true;
+  unlink (from);
+  return false;
+}
+
+bool
+cfs_file_replace (const char *folder, const char *file, const uint8_t *data,
+                  size_t len)
+{
+  int fd = cfs_file_write_new (folder, file, data, len);
+
   if (fd < 0)
     return false;
-  ok = cfs_file_write (fd, data, len) && cfs_file_sync (fd);
   close (fd);
-  return ok && rename (from, to) == 0 && cfs_file_sync_folder (folder);
+  return cfs_file_rename_new (folder, file) && cfs_file_sync_folder (folder);
 }
 
 /* Reads to the end of the file, which may be longer than @expected. */
--- a/src/process/file.h
+++ b/src/process/file.h
@@ -28,6 +28,19 @@
 /** cfs_file_sync_folder() - syncs the directory entries of a folder */
 bool cfs_file_sync_folder (const char *folder);
 
+/**
+ * cfs_file_write_new() - writes and syncs FILE.new, which is to become FILE
+ *
+ * Return: its descriptor, open for appending, which the caller closes; -1 on
+ * failure, and then there is no FILE.new.
+ */
+int cfs_file_write_new (const char *folder, const char *file,
+                        const uint8_t *data, size_t len);
+
+/** cfs_file_rename_new() - renames FILE.new to FILE, which is durable once the
+ * folder is synced; on failure removes FILE.new and returns false */
+bool cfs_file_rename_new (const char *folder, const char *file);
+
 /** cfs_file_replace() - atomically replaces the contents of a file, which is
  * created if absent; false on failure */
 bool cfs_file_replace (const char *folder, const char *file,
--- a/src/process/raft.h
+++ b/src/process/raft.h
@@ -110,7 +110,9 @@
  * struct cfs_raft_ops - callbacks for storage, network and state machine
  * @save_vote: stores term and vote; durable when it returns CFS_OK
  * @append: stores entries at the end; durable when it returns CFS_OK
- * @truncate: removes stored entries with index @from and above
+ * @truncate: removes stored entries with index @from and above; if it fails,
+ * they may come back with a restart, but not before entries that are appended
+ * later
  * @save_snapshot: stores a snapshot durably and removes the entries that it
  * covers
  * @send: sends a message to a control host by name; delivery is best effort
@@ -118,8 +120,8 @@
  * @restore: replaces the state machine by a serialized state
  * @serialize: serializes the state machine into memory that the caller frees
  *
- * If a storage callback returns anything but CFS_OK, the log in memory stays
- * as it was before the call.
+ * If another storage callback returns anything but CFS_OK, the log in memory
+ * stays as it was before the call.
  */
 struct cfs_raft_ops
 {
--- a/src/process/raft_follow.c
+++ b/src/process/raft_follow.c
@@ -51,6 +51,17 @@
   return true;
 }
 
+/* Removes entries that were never committed from an index on. */
+static int
+remove_entries (struct cfs_raft *r, uint64_t from)
+{
+  int rc = r->ops->truncate (r->ctx, from);
+
+  raft_drop_entries (r, from);
+  raft_restore_members (r);
+  return rc;
+}
+
 /* Appends those entries of the message that the log does not hold yet, after
    removing conflicting ones.  Loop invariant: entries before i are in the log
    or in the snapshot, with the same term. */
@@ -71,12 +82,10 @@
     return CFS_BAD;
   if (m->entries[i]->index <= raft_last_index (r))
     {
-      int rc = r->ops->truncate (r->ctx, m->entries[i]->index);
+      int rc = remove_entries (r, m->entries[i]->index);
 
       if (rc != CFS_OK)
         return rc;
-      raft_drop_entries (r, m->entries[i]->index);
-      raft_restore_members (r);
     }
   for (; i < m->n_entries; i++, n++)
     {
@@ -125,16 +134,9 @@
 static int
 remove_conflicting (struct cfs_raft *r, uint64_t index)
 {
-  int rc;
-
   if (raft_last_index (r) < index)
     return CFS_OK;
-  rc = r->ops->truncate (r->ctx, index);
-  if (rc != CFS_OK)
-    return rc;
-  raft_drop_entries (r, index);
-  raft_restore_members (r);
-  return CFS_OK;
+  return remove_entries (r, index);
 }
 
 void
--- a/tests/world/control.c
+++ b/tests/world/control.c
@@ -102,7 +102,7 @@
 
   while (h->disk.count && h->disk.entries[h->disk.count - 1].index >= from)
     free (h->disk.entries[--h->disk.count].data);
-  return CFS_OK;
+  return h->disk.full ? CFS_IO : CFS_OK;
 }
 
 static void
