A claim to be primary by a lost instance does not end a service

Callers would get no answer on any route, for good: the newest claim takes the service, the failover that follows sees the real primary and waits for the lost instance, and an instance that claims to be primary was never dropped for silence.

Now a failover ends at once when another instance says that it leads, in reply to a query of this failover: only a promotion can change that. While a request of an earlier attempt may still be carried out, all others must be paused as before. And silence protects the presumed primary of a service only, not every instance whose last report said "primary".

Ruled out: dropping silent primaries alone. For 30 s nothing would be served.

--- a/src/process/control_fleet.c
+++ b/src/process/control_fleet.c
@@ -14,7 +14,8 @@
 #define PART "control"
 /* After this time the commit of an entry is reported as unknown. */
 #define COMMIT_TIMEOUT_US (5 * CFS_US_PER_S)
-/* A replica without a heartbeat for this time counts as lost. */
+/* An instance other than a primary counts as lost without a heartbeat for this
+   time. */
 #define TARGET_LOST_US (30 * CFS_US_PER_S)
 
 void
@@ -102,11 +103,13 @@
     return;
   for (size_t i = 0; i < targets->count; i++)
     {
-      struct cfs_target t = *(struct cfs_target *)cfs_table_at (targets, i);
+      const struct cfs_target *known = cfs_table_at (targets, i);
+      struct cfs_target t = *known;
       struct target_heartbeat *b = cfs_table_add (&c->fleet.heartbeats, t.id);
       int64_t heard = b->received_at ? b->received_at : c->fleet.leader_since;
 
-      if (t.gone || t.primary || now - heard < TARGET_LOST_US)
+      if (now - heard < TARGET_LOST_US
+          || !cfs_targets_may_drop (targets, &c->state.failovers, known))
         continue;
       t.gone = true;
       t.sequence++;
--- a/src/process/failover.c
+++ b/src/process/failover.c
@@ -253,6 +253,21 @@
                f->service, f->probes[i].target, f->probes[i].connected);
 }
 
+/* Whether another instance than the presumed primary is certain to lead.  It
+   says so itself, to a query of this failover, and only a promotion can change
+   that.  While a request of an earlier attempt may still be carried out, all
+   others must be paused as well. */
+static bool
+another_leads (const struct failover_state *f,
+               const struct probe_summary *summary,
+               const struct cfs_target *presumed)
+{
+  if (!summary->primary
+      || (presumed && strcmp (summary->primary->target, presumed->id) == 0))
+    return false;
+  return !f->promotion_sent || summary->paused + 1 >= summary->known;
+}
+
 /* An acknowledged commit is in the logs of the actual primary and of at least
    one other instance.  When all instances but one are paused replicas, the
    remaining one is the primary or there is none, so the paused ones together
@@ -263,11 +278,8 @@
 {
   const struct cfs_target *primary = current_primary (m, f);
   struct probe_summary summary = failover_poll_instances (m, f, now);
-  bool another_primary
-      = summary.primary
-        && (!primary || strcmp (summary.primary->target, primary->id) != 0);
 
-  if (another_primary && summary.paused + 1 >= summary.known)
+  if (another_leads (f, &summary, primary))
     {
       accept_primary (m, f, summary.primary, now);
       return;
--- a/src/process/targets.c
+++ b/src/process/targets.c
@@ -247,3 +247,13 @@
     return NULL;
   return cfs_targets_presumed_primary (targets, failovers, service);
 }
+
+bool
+cfs_targets_may_drop (const struct cfs_table *targets,
+                      const struct cfs_table *failovers,
+                      const struct cfs_target *target)
+{
+  return !target->gone
+         && cfs_targets_presumed_primary (targets, failovers, target->service)
+                != target;
+}
--- a/src/process/targets.h
+++ b/src/process/targets.h
@@ -167,6 +167,17 @@
                               const struct cfs_table *failovers,
                               const char *service);
 
+/**
+ * cfs_targets_may_drop() - whether an instance that has been silent for long
+ * counts as lost
+ *
+ * False for the presumed primary of its service, which a failover replaces. A
+ * claim to be primary that another one has superseded protects nobody.
+ */
+bool cfs_targets_may_drop (const struct cfs_table *targets,
+                           const struct cfs_table *failovers,
+                           const struct cfs_target *target);
+
 /**
  * cfs_targets_primary() - as cfs_targets_presumed_primary(), but NULL while
  * hosts must not use it
--- a/tests/unit/foreign_reports.c
+++ b/tests/unit/foreign_reports.c
@@ -14,6 +14,8 @@
 #include <cmocka.h>
 
 #define SERVICE "db"
+/* Time to find that the claimed primary does not reply, and a failover. */
+#define CLAIM_REFUTED_US (5 * CFS_US_PER_S)
 
 /* Report of an instance at the address of the second instance of the
    simulation. */
@@ -144,6 +146,35 @@
   check_recorded_claim ("x-1\r\nQUERY", 5, "10.0.0.9:1");
 }
 
+/* RECOVER: the newest claim took the service for good, since the instance was
+   never dropped for its silence and a failover waited for it. */
+static void
+a_claim_of_an_instance_that_is_lost_ends_no_service (void **state)
+{
+  struct cfs_target t = make_report ("t9", SERVICE, 9);
+  const struct cfs_state *s;
+  uint64_t before;
+
+  (void)state;
+  wf_start (4);
+  wf_run (3 * CFS_US_PER_S);
+  s = wf_state ();
+  cfs_copy (t.address, sizeof t.address, "10.0.0.9:1");
+  t.primary = true;
+  assert_int_equal (wf_report (&t, true), REPORT_CURRENT);
+  wf_run (CLAIM_REFUTED_US);
+  before = wf_acknowledged ();
+  wf_run (CFS_US_PER_S);
+  assert_true (wf_acknowledged () > before);
+  assert_int_equal (wf_primary (), 0);
+  assert_null (wf_violation ());
+  assert_false (cfs_targets_may_drop (&s->targets, &s->failovers,
+                                      cfs_table_find (&s->targets, "t1")));
+  assert_true (cfs_targets_may_drop (&s->targets, &s->failovers,
+                                     cfs_table_find (&s->targets, "t9")));
+  wf_end ();
+}
+
 /* A later version of the configuration names the service. */
 static void
 an_instance_is_used_once_its_service_is_configured (void **state)
@@ -189,6 +220,7 @@
     cmocka_unit_test (a_late_leave_ends_no_later_incarnation),
     cmocka_unit_test (a_leave_ends_its_incarnation_and_earlier_ones),
     cmocka_unit_test (an_entry_that_names_no_instance_is_no_primary),
+    cmocka_unit_test (a_claim_of_an_instance_that_is_lost_ends_no_service),
     cmocka_unit_test (an_instance_is_used_once_its_service_is_configured),
     cmocka_unit_test (an_instance_drains_while_its_service_is_not_configured)
   };
--- a/tests/world/failover.c
+++ b/tests/world/failover.c
@@ -259,17 +259,30 @@
 
 static const struct cfs_target_conn_ops conn_ops = { conn_send, conn_close };
 
+/* Returns NULL for an instance that is not simulated: nothing listens at its
+   address. */
+static struct instance *
+find_instance (const char *name)
+{
+  for (int i = 0; i < INSTANCES; i++)
+    if (strcmp (world->instances[i].name, name) == 0)
+      return &world->instances[i];
+  return NULL;
+}
+
 static struct cfs_target_conn *
 conn_open (const struct cfs_target_adapter *adapter,
            const struct cfs_target_conn_setup *setup)
 {
-  struct fake_conn *conn = cfs_alloc (sizeof *conn);
+  struct instance *instance = find_instance (setup->target);
+  struct fake_conn *conn;
 
   (void)adapter;
+  if (!instance)
+    return NULL;
+  conn = cfs_alloc (sizeof *conn);
   conn->base.ops = &conn_ops;
-  for (int i = 0; i < INSTANCES; i++)
-    if (strcmp (world->instances[i].name, setup->target) == 0)
-      conn->instance = &world->instances[i];
+  conn->instance = instance;
   conn->boot = conn->instance->boot;
   conn->events = setup->events;
   conn->owner = setup->owner;
@@ -446,11 +459,11 @@
 static size_t
 suspecting_hosts (void *ctx, const char *target, size_t *hosts)
 {
-  const struct instance *in = &world->instances[target[1] - '1'];
+  const struct instance *in = find_instance (target);
 
   (void)ctx;
   *hosts = 4;
-  return !in->alive || in->cut || in->suspect ? 3 : 0;
+  return !in || !in->alive || in->cut || in->suspect ? 3 : 0;
 }
 
 static const struct cfs_failover_ops ops
