--- a/tests/unit/disk_full.c
+++ b/tests/unit/disk_full.c
@@ -147,6 +147,7 @@
       return cfs_disk_truncate (r->disk, s->index);
     default:
       snapshot.members.count = 1;
+      cfs_copy (snapshot.members.at[0].host, CFS_NAME_MAX, "c1");
       return cfs_disk_save_snapshot (r->disk, &snapshot);
     }
 }
--- a/tests/world/control.c
+++ b/tests/world/control.c
@@ -121,6 +121,8 @@
   struct wc_host *h = ctx;
   size_t kept = 0;
 
+  if (h->disk.full)
+    return CFS_IO;
   free (h->disk.snapshot.data);
   copy_snapshot (&h->disk.snapshot, s);
   for (size_t i = 0; i < h->disk.count; i++)
