--- /dev/null
+++ b/tests/world/failover_conn.c
@@ -0,0 +1,161 @@
+/*
+ * Connections of the control leader to simulated instances.  A statement takes
+ * a random time to run, also when the connection is closed meanwhile.
+ */
+#include "failover_int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void
+run_statement (struct fake_conn *conn)
+{
+  struct instance *in = conn->instance;
+  struct cfs_reply *r = &conn->reply;
+
+  memset (r, 0, sizeof *r);
+  r->rows = conn->row;
+  if (conn->statement.verb == VERB_BEGIN)
+    {
+      r->code = in->primary ? REPLY_OK : REPLY_NOT_PRIMARY;
+      conn->state = in->primary ? TX_OPEN : TX_IDLE;
+    }
+  else if (conn->statement.verb == VERB_ROLLBACK)
+    conn->state = TX_IDLE;
+  else if (conn->statement.verb == VERB_PAUSE)
+    {
+      if (conn->statement.term <= in->term)
+        r->code = REPLY_MALFORMED;
+      else
+        in->paused = !in->primary;
+    }
+  else if (conn->statement.verb == VERB_DEMOTE)
+    in->primary = in->primary && conn->statement.term <= in->term;
+  else if (conn->statement.verb == VERB_RESUME)
+    in->paused = false;
+  cfs_copy (conn->row, sizeof conn->row, in->primary ? "primary" : "replica");
+  r->state = conn->state;
+  r->position.term = in->term;
+  r->position.number = in->received;
+  r->row_count = 1;
+}
+
+bool
+wf_read_status (const struct cfs_reply *reply, struct cfs_instance_state *out)
+{
+  if (reply->code != REPLY_OK)
+    return false;
+  memset (out, 0, sizeof *out);
+  out->term = reply->position.term;
+  out->primary = strcmp (reply->rows, "primary") == 0;
+  out->received = reply->position;
+  return true;
+}
+
+static void
+conn_send (struct cfs_target_conn *base, const struct cfs_statement *s,
+           size_t count)
+{
+  struct fake_conn *conn = (struct fake_conn *)base;
+
+  if (count != 1)
+    wf_world->violation = "more than one statement sent at a time";
+  conn->statement = *s;
+  conn->statement_pending = true;
+  conn->due = wf_world->now + conn->instance->delay_us
+              + (int64_t)wf_random_below (60) * CFS_US_PER_MS;
+}
+
+/* A statement sent before the close still runs if the instance is reachable.
+ */
+static void
+conn_close (struct cfs_target_conn *base)
+{
+  struct fake_conn *conn = (struct fake_conn *)base;
+
+  if (conn->statement_pending && conn->instance->alive && !conn->instance->cut
+      && !conn->instance->cut_from_leader
+      && conn->boot == conn->instance->boot)
+    run_statement (conn);
+  conn->dead = true;
+}
+
+static const struct cfs_target_conn_ops conn_ops = { conn_send, conn_close };
+
+struct instance *
+wf_find_instance (const char *name)
+{
+  for (int i = 0; i < INSTANCES; i++)
+    if (strcmp (wf_world->instances[i].name, name) == 0)
+      return &wf_world->instances[i];
+  return NULL;
+}
+
+struct cfs_target_conn *
+wf_open_conn (const struct cfs_target_adapter *adapter,
+              const struct cfs_target_conn_setup *setup)
+{
+  struct instance *instance = wf_find_instance (setup->target);
+  struct fake_conn *conn;
+
+  (void)adapter;
+  if (!instance)
+    return NULL;
+  conn = cfs_alloc (sizeof *conn);
+  conn->base.ops = &conn_ops;
+  conn->instance = instance;
+  conn->boot = conn->instance->boot;
+  conn->events = setup->events;
+  conn->owner = setup->owner;
+  conn->due = wf_world->now + 20 * CFS_US_PER_MS;
+  conn->next = wf_world->conns;
+  wf_world->conns = conn;
+  return &conn->base;
+}
+
+void
+wf_step_conn (struct fake_conn *conn)
+{
+  if (conn->dead || conn->instance->cut || conn->instance->cut_from_leader
+      || wf_world->now < conn->due)
+    return;
+  if (!conn->instance->alive || conn->boot != conn->instance->boot)
+    {
+      conn->dead = true;
+      conn->events->lost (conn->owner, "simulated connection failure");
+    }
+  else if (!conn->open)
+    {
+      struct cfs_reply hello = { .code = REPLY_OK };
+
+      hello.position.term = conn->instance->term;
+      hello.position.number = conn->instance->received;
+      conn->open = true;
+      conn->events->opened (conn->owner, &hello);
+    }
+  else if (conn->statement_pending)
+    {
+      conn->statement_pending = false;
+      run_statement (conn);
+      conn->events->replied (conn->owner, &conn->reply);
+    }
+}
+
+void
+wf_free_dead_conns (void)
+{
+  struct fake_conn **next = &wf_world->conns;
+
+  while (*next)
+    {
+      struct fake_conn *conn = *next;
+
+      if (!conn->dead)
+        {
+          next = &conn->next;
+          continue;
+        }
+      *next = conn->next;
+      free (conn);
+    }
+}
--- /dev/null
+++ b/tests/world/failover_script.c
@@ -0,0 +1,166 @@
+/*
+ * What a test does to the simulation of failovers, and what it reads from it.
+ */
+#include "failover_int.h"
+
+#include <string.h>
+
+void
+wf_kill (unsigned i)
+{
+  wf_world->instances[i].alive = false;
+}
+
+void
+wf_cut (unsigned i, bool cut)
+{
+  wf_world->instances[i].cut = cut;
+}
+
+void
+wf_revive (unsigned i)
+{
+  wf_world->instances[i].alive = true;
+  wf_world->instances[i].paused = false;
+  wf_world->instances[i].boot++;
+}
+
+void
+wf_cut_from_leader (unsigned i, bool cut)
+{
+  wf_world->instances[i].cut_from_leader = cut;
+}
+
+void
+wf_cut_replication (unsigned i, bool cut)
+{
+  wf_world->instances[i].replication_cut = cut;
+}
+
+/* Commits an entry after all that was proposed before. */
+static void
+commit_target (const struct cfs_target *target)
+{
+  Cfs__Target t;
+
+  while (wf_world->committed < wf_world->index)
+    wf_step ();
+  cfs_target_to_message (target, &t);
+  cfs_targets_apply (&wf_world->state.targets, &t, ++wf_world->index);
+  wf_world->committed = wf_world->index;
+}
+
+enum cfs_report_effect
+wf_report (const struct cfs_target *report, bool configured)
+{
+  const struct cfs_target *known
+      = cfs_table_find (&wf_world->state.targets, report->id);
+  struct cfs_target next = *report;
+  enum cfs_report_effect effect
+      = cfs_target_report_effect (known, configured, &next);
+
+  if (effect == REPORT_CURRENT && cfs_target_affects_routing (known, &next))
+    commit_target (&next);
+  return effect;
+}
+
+bool
+wf_leave (const char *id, uint64_t incarnation)
+{
+  struct cfs_target next
+      = *(struct cfs_target *)cfs_table_find (&wf_world->state.targets, id);
+
+  if (!cfs_target_mark_left (&next, incarnation))
+    return false;
+  commit_target (&next);
+  return true;
+}
+
+void
+wf_hold_promotions (bool hold)
+{
+  wf_world->hold_promotions = hold;
+}
+
+int
+wf_held_promotion (void)
+{
+  const struct promotion *newest = NULL;
+
+  for (int i = 0; i < PROMOTIONS_MAX; i++)
+    if (wf_world->promotions[i].pending
+        && (!newest || wf_world->promotions[i].fence > newest->fence))
+      newest = &wf_world->promotions[i];
+  return newest ? (int)newest->target : -1;
+}
+
+void
+wf_carry_out (unsigned target)
+{
+  for (int i = 0; i < PROMOTIONS_MAX; i++)
+    if (wf_world->promotions[i].pending
+        && wf_world->promotions[i].target == target)
+      wf_world->promotions[i].at = wf_world->now;
+}
+
+uint64_t
+wf_acknowledged (void)
+{
+  return wf_world->acked_position;
+}
+
+void
+wf_suspect (unsigned i, bool suspect)
+{
+  wf_world->instances[i].suspect = suspect;
+}
+
+void
+wf_slow_down (unsigned i, int64_t us)
+{
+  wf_world->instances[i].delay_us = us;
+}
+
+bool
+wf_paused (unsigned i)
+{
+  return wf_world->instances[i].paused;
+}
+
+unsigned
+wf_failover_count (void)
+{
+  return wf_world->failover_count;
+}
+
+const char *
+wf_violation (void)
+{
+  return wf_world->violation;
+}
+
+struct cfs_state *
+wf_state (void)
+{
+  return &wf_world->state;
+}
+
+void
+wf_unregister (unsigned i)
+{
+  struct cfs_table *targets = &wf_world->state.targets;
+
+  for (size_t k = targets->count; k > 0; k--)
+    if (strcmp (cfs_table_at (targets, k - 1), wf_world->instances[i].name)
+        == 0)
+      cfs_table_remove (targets, k - 1);
+}
+
+void
+wf_drain (unsigned i)
+{
+  struct cfs_target *t
+      = cfs_table_find (&wf_world->state.targets, wf_world->instances[i].name);
+
+  t->draining = true;
+}
