--- a/tests/world/seeds.h
+++ b/tests/world/seeds.h
@@ -18,4 +18,7 @@
  */
 uint64_t seeds_failed (bool (*run) (uint64_t seed));
 
+/** seeds_failed_up_to() - as seeds_failed(), with the seeds 1 to @seeds */
+uint64_t seeds_failed_up_to (uint64_t seeds, bool (*run) (uint64_t seed));
+
 #endif
