Failovers log what each instance said of its pause when one is promoted

Change: struct cfs_instance_state has paused_term; at a promotion request the log has it with term, position and age of each status, and a warning says when a replica that counts as paused says that it receives. No decision changes.

--- a/src/connection/adapter.h
+++ b/src/connection/adapter.h
@@ -241,12 +241,15 @@
  * @primary: whether it is the primary
  * @term: its current term
  * @received: position of the last entry in its log
+ * @paused_term: term of the failover for which replication is paused, 0 if the
+ * instance receives the log
  */
 struct cfs_instance_state
 {
   bool primary;
   uint64_t term;
   struct cfs_position received;
+  uint64_t paused_term;
 };
 
 /**
--- a/src/process/failover.c
+++ b/src/process/failover.c
@@ -186,6 +186,25 @@
   enter_phase (f, PHASE_CLOSING, now);
 }
 
+/* Logs what is known of an instance when a promotion is requested. */
+static void
+log_status (const struct failover_state *f, const struct probe *p, int64_t now)
+{
+  const struct cfs_instance_state *s = &p->status;
+
+  if (!p->status_known)
+    cfs_log (CFS_NOTICE, PART, "service=%s target=%s status is not known",
+             f->service, p->target);
+  else
+    cfs_log (CFS_NOTICE, PART,
+             "service=%s target=%s paused=%d paused_term=%" PRIu64
+             " leads=%d term=%" PRIu64 " position=%" PRIu64 ".%" PRIu64
+             " age_ms=%" PRId64,
+             f->service, p->target, p->paused, s->paused_term, s->primary,
+             s->term, s->received.term, s->received.number,
+             (now - p->asked_at) / CFS_US_PER_MS);
+}
+
 static void
 send_promotion (struct cfs_failover_manager *m, struct failover_state *f,
                 const struct probe *candidate, int64_t now)
@@ -195,13 +214,7 @@
   enter_phase (f, PHASE_PROMOTING, now);
   for (size_t i = 0; i < f->probe_count; i++)
     if (*f->probes[i].target)
-      cfs_log (CFS_NOTICE, PART,
-               "service=%s target=%s paused=%d leads=%d position=%" PRIu64
-               ".%" PRIu64,
-               f->service, f->probes[i].target, f->probes[i].paused,
-               f->probes[i].status_known && f->probes[i].status.primary,
-               f->probes[i].status.received.term,
-               f->probes[i].status.received.number);
+      log_status (f, &f->probes[i], now);
   cfs_log (CFS_NOTICE, PART,
            "service=%s target=%s fence=%" PRIu64
            " promotion requested, took_ms=%" PRId64,
--- a/src/process/failover_int.h
+++ b/src/process/failover_int.h
@@ -53,6 +53,7 @@
  * lost
  * @connect_failures: connections lost or failed in a row
  * @sent_at: when the connection was started or the last query was sent
+ * @asked_at: when the query was sent whose reply gave @status
  * @term: highest term seen in a reply
  * @verb: last query
  * @absent: the last connection attempt showed that the instance is not there:
@@ -76,6 +77,7 @@
   bool status_known;
   unsigned connect_failures;
   int64_t sent_at;
+  int64_t asked_at;
   int64_t replied_at;
   int64_t retry_at;
   uint64_t term;
--- a/src/process/failover_probe.c
+++ b/src/process/failover_probe.c
@@ -4,8 +4,12 @@
  */
 #include "failover_int.h"
 
+#include "log.h"
+
+#include <inttypes.h>
 #include <string.h>
 
+#define PART "failover"
 /* Interval between queries to a monitored primary. */
 #define WATCH_INTERVAL_US (300 * CFS_US_PER_MS)
 /* Delay before a lost connection is opened again. */
@@ -76,6 +80,19 @@
   m->ops->primary_position (m->ctx, t->service, &r->position, p->sent_at);
 }
 
+/* Logs that a replica which counts as paused says that it receives the log. */
+static void
+log_false_pause (const struct probe *p)
+{
+  if (p->paused && p->status.paused_term == 0)
+    cfs_log (
+        CFS_WARNING, PART,
+        "target=%s counts as paused and is not: after verb=%s term=%" PRIu64
+        " position=%" PRIu64 ".%" PRIu64,
+        p->target, cfs_verb_name (p->verb), p->status.term,
+        p->status.received.term, p->status.received.number);
+}
+
 static void
 on_replied (void *owner, const struct cfs_reply *r)
 {
@@ -104,8 +121,10 @@
       p->demoted = p->status_known && !p->status.primary
                    && (p->demoted || p->verb == VERB_DEMOTE);
       p->replied_at = p->owner->clock ();
+      p->asked_at = p->sent_at;
       if (p->status_known && p->status.term > p->term)
         p->term = p->status.term;
+      log_false_pause (p);
     }
 }
 
