Failover model: commit records until none is due

The model ran all records of the replicated log as often as there is room for them, in each step. It now repeats only while one was committed.

--- a/tests/world/failover.c
+++ b/tests/world/failover.c
@@ -406,10 +406,16 @@
 void
 wf_step (void)
 {
+  uint64_t committed;
+
   wf_world->now += STEP_US;
-  for (int i = 0; i < PROPOSALS_MAX; i++)
-    for (int k = 0; k < PROPOSALS_MAX; k++)
-      step_proposal (&wf_world->proposals[k]);
+  do
+    {
+      committed = wf_world->committed;
+      for (int i = 0; i < PROPOSALS_MAX; i++)
+        step_proposal (&wf_world->proposals[i]);
+    }
+  while (wf_world->committed > committed);
   for (int i = 0; i < PROMOTIONS_MAX; i++)
     step_promotion (&wf_world->promotions[i]);
   if (wf_world->promoting >= 0 && wf_world->now >= wf_world->promote_at)
