Failover model: hosts, late orders, pauses without effect, early receivers

Change: three hosts pass acknowledgements on, some ms after a replica has the commit, and learn of failovers through heartbeats only, which random cuts stop. A PAUSE has no effect unless its term is above the newest of the group; the row tells the term held, which wf_read_status() decodes. PAUSE, RESUME and DEMOTE may be carried out 2 to 12 s later, with a late reply or none. An instance that starts receives the log within 0.6 s and announces itself within 1.2 s unless it is cut off. An instance that is cut off reports no change of its role. The time for the recovery is 16 s instead of 14 s, because an order comes up to 12 s late, where a promotion came at most 10 s late. host_may_acknowledge() and wf_acks_stopped() are prepared for a lease of acknowledgements and not in use.

--- a/tests/world/failover.c
+++ b/tests/world/failover.c
@@ -4,7 +4,7 @@
  * test says so.  In all cases it is rejected if the instance is stopped, or if
  * a request with a higher fencing token was carried out before.  Instances
  * report a change of their role to the replicated state.  Hosts write at the
- * instance that this state names as the primary.
+ * instance that this state named as the primary at their last heartbeat.
  */
 #include "failover_int.h"
 
@@ -17,7 +17,8 @@
 /* Time after which a promotion request without a result is given up. */
 #define PROMOTION_TIMEOUT_US (700 * CFS_US_PER_MS)
 #define FAULT_PHASE_US (25 * CFS_US_PER_S)
-#define RECOVERY_US (14 * CFS_US_PER_S)
+/* Longer than an order or a promotion is late. */
+#define RECOVERY_US (16 * CFS_US_PER_S)
 
 struct world *wf_world;
 
@@ -91,7 +92,7 @@
       struct instance *in = &wf_world->instances[i];
       struct proposal *p;
 
-      if (!in->alive || in->mute || in->leaving
+      if (!in->alive || in->mute || in->cut || in->leaving
           || in->reported_primary == in->primary)
         continue;
       p = wf_append_record ();
@@ -198,8 +199,8 @@
   const struct instance *in = wf_find_instance (target);
 
   (void)ctx;
-  *hosts = 4;
-  return !in || !in->alive || in->cut || in->suspect ? 3 : 0;
+  *hosts = HOSTS;
+  return !in || !in->alive || in->cut || in->suspect ? HOSTS : 0;
 }
 
 static const struct cfs_failover_ops ops
@@ -220,14 +221,16 @@
   if (old >= 0)
     wf_world->instances[old].primary = false;
   in->primary = true;
-  in->paused = false;
   in->term = ++wf_world->term;
+  in->led_from = in->received;
+  in->replicated = in->received;
   wf_world->failover_count++;
+  wf_lose_acknowledgements (in->received);
   for (int k = 0; k < INSTANCES; k++)
     {
       if (wf_world->instances[k].received > in->received)
         wf_world->instances[k].received = in->received;
-      wf_world->instances[k].paused = false;
+      wf_world->instances[k].paused_term = 0;
     }
   wf_world->acked_position = in->received < wf_world->acked_position
                                  ? in->received
@@ -283,38 +286,29 @@
     cfs_failovers_apply (&wf_world->state.failovers, &p->turn, p->index);
 }
 
-/* Whether hosts write at an instance. */
-static bool
-hosts_use (const struct instance *in)
-{
-  const struct cfs_target *t = cfs_targets_primary (
-      &wf_world->state.targets, &wf_world->state.failovers, SERVICE);
-
-  return t && !in->cut && strcmp (t->id, in->name) == 0;
-}
-
 /* The primary writes one entry if hosts use it, and each replica may receive
-   the log so far; a commit is acknowledged once one replica has it. */
+   the log so far. */
 static void
 replicate (void)
 {
   int p = primary_index ();
+  struct instance *primary;
 
   if (p < 0 || !wf_world->instances[p].alive)
     return;
-  wf_world->instances[p].received += hosts_use (&wf_world->instances[p]);
+  primary = &wf_world->instances[p];
+  primary->received += wf_hosts_use (primary);
   for (int i = 0; i < INSTANCES; i++)
     {
       struct instance *in = &wf_world->instances[i];
 
-      if (i == p || !in->alive || in->paused || in->replication_cut
-          || !wf_receives (in) || wf_world->instances[p].replication_cut
+      if (i == p || !in->alive || in->paused_term || in->replication_cut
+          || wf_world->now < in->receive_at || primary->replication_cut
           || wf_random_below (3) == 0)
         continue;
-      in->received = wf_world->instances[p].received;
-      in->term = wf_world->instances[p].term;
-      if (in->received > wf_world->acked_position)
-        wf_world->acked_position = in->received;
+      in->received = primary->received;
+      in->term = primary->term;
+      primary->replicated = primary->received;
     }
 }
 
@@ -330,6 +324,7 @@
 {
   cfs_failover_free (wf_world->failover);
   start_leader ();
+  wf_forget_hosts ();
 }
 
 static unsigned
@@ -346,6 +341,7 @@
 inject_random_fault (void)
 {
   struct instance *in = &wf_world->instances[wf_random_below (INSTANCES)];
+  struct host *host = &wf_world->hosts[wf_random_below (HOSTS)];
 
   switch (wf_random_below (500))
     {
@@ -354,7 +350,7 @@
       if (count_alive () == INSTANCES)
         {
           in->alive = false;
-          in->paused = false;
+          in->paused_term = 0;
           in->boot++;
         }
       break;
@@ -384,6 +380,9 @@
       if (in->exited)
         wf_start_arrival (in);
       break;
+    case 14:
+      host->cut = !host->cut;
+      break;
     default:
       break;
     }
@@ -401,6 +400,8 @@
       wf_world->instances[i].cut = false;
       wf_world->instances[i].replication_cut = false;
     }
+  for (int i = 0; i < HOSTS; i++)
+    wf_world->hosts[i].cut = false;
 }
 
 void
@@ -426,6 +427,8 @@
   report_roles ();
   wf_step_arrivals ();
   replicate ();
+  wf_step_hosts ();
+  wf_step_orders ();
   for (struct fake_conn *conn = wf_world->conns; conn; conn = conn->next)
     wf_step_conn (conn);
   wf_free_dead_conns ();
@@ -476,6 +479,7 @@
   cfs_state_init (&wf_world->state);
   for (int i = 0; i < INSTANCES; i++)
     add_instance (i);
+  wf_start_hosts ();
   start_leader ();
 }
 
@@ -520,7 +524,8 @@
       printf ("%s alive %d primary %d paused %d term %llu received %llu, "
               "acked %llu at %lld ms\n",
               wf_world->instances[i].name, wf_world->instances[i].alive,
-              wf_world->instances[i].primary, wf_world->instances[i].paused,
+              wf_world->instances[i].primary,
+              wf_world->instances[i].paused_term > 0,
               (unsigned long long)wf_world->instances[i].term,
               (unsigned long long)wf_world->instances[i].received,
               (unsigned long long)wf_world->acked_position,
--- a/tests/world/failover.h
+++ b/tests/world/failover.h
@@ -10,6 +10,32 @@
 
 #include "../../src/process/failover.h"
 
+/**
+ * struct wf_heartbeat - heartbeat of a host to the control leader
+ * @sent_at: when it was sent
+ * @stopped_index: log index of the open failover that the host knows and for
+ * which it passes no acknowledgements on, 0 for none
+ * @highest: highest position whose acknowledgement it has passed on, term 0
+ * for none
+ */
+struct wf_heartbeat
+{
+  int64_t sent_at;
+  uint64_t stopped_index;
+  struct cfs_position highest;
+};
+
+/**
+ * struct wf_heartbeat_ops - what receives the heartbeats
+ * @heard: the control leader receives the heartbeat of a host; may be NULL
+ */
+struct wf_heartbeat_ops
+{
+  void *ctx;
+  void (*heard) (void *ctx, unsigned host,
+                 const struct wf_heartbeat *heartbeat);
+};
+
 /**
  * wf_run_seed() - runs a simulation with random faults, then without any
  *
@@ -41,9 +67,6 @@
  * leader does */
 void wf_drop (unsigned instance);
 
-/** wf_change_leader() - another host becomes control leader */
-void wf_change_leader (void);
-
 /** wf_status_queries() - returns the number of STATUS statements that
  * instances ran */
 unsigned wf_status_queries (void);
@@ -84,6 +107,17 @@
 /** wf_carry_out() - carries out the held requests for an instance, in order */
 void wf_carry_out (unsigned instance);
 
+/** wf_hold_orders() - whether PAUSE, RESUME and DEMOTE to an instance get no
+ * reply and are not carried out before wf_carry_out_orders() */
+void wf_hold_orders (unsigned instance, bool hold);
+
+/** wf_carry_out_orders() - carries out the held orders to an instance */
+void wf_carry_out_orders (unsigned instance);
+
+/** wf_cut_host() - cuts a host off from the control leader, or reconnects it
+ */
+void wf_cut_host (unsigned host, bool cut);
+
 /** wf_acknowledged() - returns the highest acknowledged position */
 uint64_t wf_acknowledged (void);
 
--- a/tests/world/failover_arrival.c
+++ b/tests/world/failover_arrival.c
@@ -3,7 +3,7 @@
  * drains first and ends some time after its leave was committed; until then it
  * receives the log and so acknowledges commits.  Its place is taken by an
  * instance with the same id, a later start and an empty log, which reports
- * until it is known.
+ * until it is known, and may begin to receive the log before.
  */
 #include "failover_int.h"
 
@@ -11,6 +11,9 @@
 
 #define EXIT_DELAY_MAX_MS 500
 #define REPORT_INTERVAL_US (300 * CFS_US_PER_MS)
+/* An instance that starts announces itself within this time. */
+#define ANNOUNCE_MAX_MS 1200
+#define RECEIVE_DELAY_MAX_MS 600
 
 void
 wf_exit_instance (struct instance *in)
@@ -77,27 +80,15 @@
 {
   in->exited = false;
   in->alive = true;
-  in->paused = false;
+  in->paused_term = 0;
   in->term = 0;
   in->incarnation++;
   in->boot++;
-  in->report_at = wf_world->now;
-}
-
-/* Not shown: a replica that starts to receive the log while a promotion
-   request is on its way can acknowledge a commit of the former primary. */
-bool
-wf_receives (struct instance *in)
-{
-  const struct cfs_target *known = entry_of (in);
-  const struct cfs_failover *f
-      = cfs_table_find (&wf_world->state.failovers, SERVICE);
-
-  if (in->receiving_since != in->incarnation
-      && (!known || known->incarnation >= in->incarnation)
-      && (in->incarnation == 1 || !f || !f->open))
-    in->receiving_since = in->incarnation;
-  return in->receiving_since == in->incarnation;
+  in->report_at = wf_world->now
+                  + (int64_t)wf_random_below (ANNOUNCE_MAX_MS) * CFS_US_PER_MS;
+  in->receive_at
+      = wf_world->now
+        + (int64_t)wf_random_below (RECEIVE_DELAY_MAX_MS) * CFS_US_PER_MS;
 }
 
 static void
@@ -130,8 +121,8 @@
 
       if (in->exit_at && wf_world->now >= in->exit_at)
         wf_exit_instance (in);
-      else if (in->alive && !in->leaving && wf_world->now >= in->report_at
-               && entry_of (in)
+      else if (in->alive && !in->cut && !in->leaving
+               && wf_world->now >= in->report_at && entry_of (in)
                && entry_of (in)->incarnation != in->incarnation)
         report_arrival (in);
     }
--- a/tests/world/failover_conn.c
+++ b/tests/world/failover_conn.c
@@ -1,12 +1,38 @@
 /*
  * Connections of the control leader to simulated instances.  A statement takes
- * a random time to run, also when the connection is closed meanwhile.
+ * a random time to run, also when the connection is closed meanwhile.  An
+ * order that changes what an instance does may get no reply and be carried out
+ * seconds later.
  */
 #include "failover_int.h"
 
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#define LATE_ORDER_MIN_US (2 * CFS_US_PER_S)
+#define LATE_ORDER_MAX_US (12 * CFS_US_PER_S)
+
+static bool
+is_order (const struct cfs_statement *s)
+{
+  return s->verb == VERB_PAUSE || s->verb == VERB_RESUME
+         || s->verb == VERB_DEMOTE;
+}
+
+/* A PAUSE whose term is not above the newest of the group has no effect. */
+static void
+carry_out_order (struct instance *in, const struct cfs_statement *s)
+{
+  if (s->verb == VERB_PAUSE && s->term > wf_world->term && !in->primary)
+    in->paused_term = s->term;
+  else if (s->verb == VERB_DEMOTE)
+    in->primary = in->primary && s->term <= in->term;
+  else if (s->verb == VERB_RESUME)
+    in->paused_term = 0;
+}
+
 static void
 run_statement (struct fake_conn *conn)
 {
@@ -23,18 +49,10 @@
     }
   else if (conn->statement.verb == VERB_ROLLBACK)
     conn->state = TX_IDLE;
-  else if (conn->statement.verb == VERB_PAUSE)
-    {
-      if (conn->statement.term <= in->term)
-        r->code = REPLY_MALFORMED;
-      else
-        in->paused = !in->primary;
-    }
-  else if (conn->statement.verb == VERB_DEMOTE)
-    in->primary = in->primary && conn->statement.term <= in->term;
-  else if (conn->statement.verb == VERB_RESUME)
-    in->paused = false;
-  cfs_copy (conn->row, sizeof conn->row, in->primary ? "primary" : "replica");
+  else
+    carry_out_order (in, &conn->statement);
+  snprintf (conn->row, sizeof conn->row, "%s %" PRIu64,
+            in->primary ? "primary" : "replica", in->paused_term);
   r->state = conn->state;
   r->position.term = in->term;
   r->position.number = in->received;
@@ -48,11 +66,41 @@
     return false;
   memset (out, 0, sizeof *out);
   out->term = reply->position.term;
-  out->primary = strcmp (reply->rows, "primary") == 0;
+  out->primary = strncmp (reply->rows, "primary", strlen ("primary")) == 0;
+  out->paused_term = strtoull (strchr (reply->rows, ' '), NULL, 10);
   out->received = reply->position;
   return true;
 }
 
+/* Returns whether the order is carried out late. */
+static bool
+delay_order (struct fake_conn *conn)
+{
+  bool held = conn->instance->orders_held;
+  int64_t delay = LATE_ORDER_MAX_US - LATE_ORDER_MIN_US;
+
+  if (!is_order (&conn->statement)
+      || (!held && (!wf_world->faults || wf_random_below (10) > 0)))
+    return false;
+  for (int i = 0; i < ORDERS_MAX; i++)
+    {
+      struct late_order *o = &wf_world->orders[i];
+
+      if (o->pending)
+        continue;
+      o->pending = true;
+      o->instance = conn->instance;
+      o->boot = conn->boot;
+      o->conn = wf_random_below (2) ? conn : NULL;
+      o->statement = conn->statement;
+      o->at = held ? CFS_NEVER
+                   : wf_world->now + LATE_ORDER_MIN_US
+                         + (int64_t)wf_random_below ((uint64_t)delay);
+      return true;
+    }
+  return false;
+}
+
 static void
 conn_send (struct cfs_target_conn *base, const struct cfs_statement *s,
            size_t count)
@@ -62,6 +110,8 @@
   if (count != 1)
     wf_world->violation = "more than one statement sent at a time";
   conn->statement = *s;
+  if (delay_order (conn))
+    return;
   conn->statement_pending = true;
   conn->due = wf_world->now + conn->instance->delay_us
               + (int64_t)wf_random_below (60) * CFS_US_PER_MS;
@@ -148,6 +198,39 @@
     }
 }
 
+/* The reply is the row of a STATUS. */
+static void
+run_late_order (struct late_order *o)
+{
+  struct fake_conn *conn = o->conn;
+
+  o->pending = false;
+  if (!o->instance->alive || o->boot != o->instance->boot)
+    return;
+  carry_out_order (o->instance, &o->statement);
+  if (!conn || conn->dead)
+    return;
+  conn->statement.verb = VERB_STATUS;
+  conn->statement_pending = true;
+  conn->due = wf_world->now;
+}
+
+void
+wf_step_orders (void)
+{
+  for (int i = 0; i < ORDERS_MAX; i++)
+    if (wf_world->orders[i].pending && wf_world->now >= wf_world->orders[i].at)
+      run_late_order (&wf_world->orders[i]);
+}
+
+static void
+forget_conn (const struct fake_conn *conn)
+{
+  for (int i = 0; i < ORDERS_MAX; i++)
+    if (wf_world->orders[i].conn == conn)
+      wf_world->orders[i].conn = NULL;
+}
+
 void
 wf_free_dead_conns (void)
 {
@@ -163,6 +246,7 @@
           continue;
         }
       *next = conn->next;
+      forget_conn (conn);
       free (conn);
     }
 }
--- a/tests/world/failover_int.h
+++ b/tests/world/failover_int.h
@@ -1,6 +1,6 @@
 /**
- * DOC: Internals of the simulation of failovers, shared by failover.c,
- * failover_conn.c and failover_script.c.
+ * DOC: Internals of the simulation of failovers, shared by the
+ * files failover*.c of this folder.
  */
 #ifndef WORLD_FAILOVER_INT_H
 #define WORLD_FAILOVER_INT_H
@@ -8,11 +8,13 @@
 #include "failover.h"
 
 #define INSTANCES 3
+#define HOSTS 3
 #define SERVICE "db"
 /* Steps for which the acknowledged position is kept. */
 #define HISTORY_STEPS 1024
 #define PROMOTIONS_MAX 64
 #define PROPOSALS_MAX 64
+#define ORDERS_MAX 64
 
 /**
  * struct instance - a simulated instance
@@ -27,11 +29,14 @@
  * @exit_at: time at which it ends after its leave, or 0
  * @report_at: time of its next report while it is not known
  * @incarnation: number of its run
- * @receiving_since: run in which it began to receive the log
- * @paused: replication was paused by the failover
+ * @receive_at: when it begins to receive the log in this run
+ * @paused_term: term of the PAUSE for which it receives no log, 0 if it does
+ * @orders_held: orders to it get no reply and wait for wf_carry_out_orders()
  * @delay_us: additional time that a statement takes
  * @boot: number of restarts; a restart breaks all connections
  * @received: position up to which it has received the log
+ * @led_from: position at which it became primary
+ * @replicated: position up to which a replica has received its log since then
  */
 struct instance
 {
@@ -49,12 +54,15 @@
   int64_t exit_at;
   int64_t report_at;
   uint64_t incarnation;
-  uint64_t receiving_since;
-  bool paused;
+  int64_t receive_at;
+  uint64_t paused_term;
+  bool orders_held;
   int64_t delay_us;
   unsigned boot;
   uint64_t term;
   uint64_t received;
+  uint64_t led_from;
+  uint64_t replicated;
 };
 
 /**
@@ -82,6 +90,78 @@
   enum cfs_tx_state state;
 };
 
+/**
+ * struct late_order - PAUSE, RESUME or DEMOTE that is carried out late
+ * @boot: restart count of the instance as the order was sent; a restarted
+ * instance does not carry it out
+ * @conn: connection that gets the reply, or NULL for none
+ */
+struct late_order
+{
+  bool pending;
+  struct instance *instance;
+  unsigned boot;
+  struct fake_conn *conn;
+  struct cfs_statement statement;
+  int64_t at;
+};
+
+/**
+ * struct host_view - what a host knows from a heartbeat reply
+ * @sent_at: when the heartbeat was sent
+ * @open: a failover of the service is open
+ * @index: log index of the last failover record
+ * @presumed: instance that is the presumed primary, or -1
+ * @used: instance that hosts use as the primary, or -1
+ */
+struct host_view
+{
+  int64_t sent_at;
+  bool open;
+  uint64_t index;
+  int presumed;
+  int used;
+};
+
+/**
+ * struct host - a host that sends statements of callers to the primary
+ * @cut: unreachable for the control leader
+ * @waiting: a heartbeat has no reply yet
+ * @send_at: when the next heartbeat is due
+ * @sent: the last heartbeat
+ * @arrives_at: when the leader receives it
+ * @reply: the reply to it
+ * @replied_at: when the host receives that
+ * @view: what the host knows
+ * @highest: highest position whose acknowledgement it has passed on
+ * @ack_pending: it has received an acknowledgement
+ * @ack_lost: the commit was rolled back since
+ * @ack_instance: the instance that sent it
+ * @ack: the position that it covers
+ * @ack_at: when the host passes it on
+ * @reported: the last heartbeat that the leader received
+ * @reported_at: when it did; 0 for never
+ */
+struct host
+{
+  bool cut;
+  bool waiting;
+  int64_t send_at;
+  struct wf_heartbeat sent;
+  int64_t arrives_at;
+  struct host_view reply;
+  int64_t replied_at;
+  struct host_view view;
+  struct cfs_position highest;
+  bool ack_pending;
+  bool ack_lost;
+  int ack_instance;
+  struct cfs_position ack;
+  int64_t ack_at;
+  struct wf_heartbeat reported;
+  int64_t reported_at;
+};
+
 /**
  * struct promotion - promotion request in transit
  * @fence: fencing token
@@ -136,10 +216,14 @@
  * @allowed: the only instance whose region the routes allow
  * @hold_promotions: promotion requests get no result and wait for
  * wf_carry_out()
+ * @acks_need_lease: hosts pass acknowledgements on only while they hold a
+ * lease
+ * @heartbeats: receives the heartbeats of the hosts
+ * @leader_since: when the current control leader took over
  * @index: last log index of the replicated log
  * @committed: last committed log index
- * @acked_position: highest acknowledged position; a commit is acknowledged
- * once one replica has received it
+ * @acked_position: highest position whose acknowledgement a host has passed
+ * on
  * @fence: highest fencing token of the promotions that were carried out
  * @term: term of the current primary
  * @promoting: instance that becomes primary at @promote_at, or -1
@@ -162,6 +246,11 @@
   struct instance instances[INSTANCES];
   struct promotion promotions[PROMOTIONS_MAX];
   struct proposal proposals[PROPOSALS_MAX];
+  struct late_order orders[ORDERS_MAX];
+  struct host hosts[HOSTS];
+  bool acks_need_lease;
+  struct wf_heartbeat_ops heartbeats;
+  int64_t leader_since;
   uint64_t index;
   uint64_t committed;
   uint64_t acked_position;
@@ -219,9 +308,35 @@
  * not known report */
 void wf_step_arrivals (void);
 
-/** wf_receives() - whether an instance may receive the log: one that started
- * again does so once it is known and no failover is open */
-bool wf_receives (struct instance *in);
+/** wf_step_orders() - carries out the late orders that are due */
+void wf_step_orders (void);
+
+/** wf_start_hosts() - lets the hosts know the current state */
+void wf_start_hosts (void);
+
+/** wf_step_hosts() - exchanges heartbeats and passes acknowledgements on */
+void wf_step_hosts (void);
+
+/** wf_hosts_use() - whether a host sends statements to an instance as the
+ * primary */
+bool wf_hosts_use (const struct instance *in);
+
+/** wf_lose_acknowledgements() - a primary with a log up to @end has replaced
+ * the one whose acknowledgements are on their way */
+void wf_lose_acknowledgements (uint64_t end);
+
+/** wf_forget_hosts() - another control leader has heard no host yet */
+void wf_forget_hosts (void);
+
+/**
+ * wf_acks_stopped() - whether no host passes acknowledgements on any more
+ * @since_index: log index of the failover record
+ * @since: when that was applied
+ * @highest: set to the highest position that a host has reported, term 0 for
+ * none
+ */
+bool wf_acks_stopped (void *ctx, const char *service, uint64_t since_index,
+                      int64_t since, struct cfs_position *highest);
 
 /** wf_apply_entry() - applies the arrival or the leave of an instance */
 void wf_apply_entry (const struct proposal *p);
--- a/tests/world/failover_script.c
+++ b/tests/world/failover_script.c
@@ -27,7 +27,7 @@
 wf_revive (unsigned i)
 {
   wf_world->instances[i].alive = true;
-  wf_world->instances[i].paused = false;
+  wf_world->instances[i].paused_term = 0;
   wf_world->instances[i].boot++;
 }
 
@@ -126,6 +126,26 @@
       wf_world->promotions[i].at = wf_world->now;
 }
 
+void
+wf_hold_orders (unsigned i, bool hold)
+{
+  wf_world->instances[i].orders_held = hold;
+}
+
+void
+wf_carry_out_orders (unsigned i)
+{
+  for (int k = 0; k < ORDERS_MAX; k++)
+    if (wf_world->orders[k].instance == &wf_world->instances[i])
+      wf_world->orders[k].at = wf_world->now;
+}
+
+void
+wf_cut_host (unsigned host, bool cut)
+{
+  wf_world->hosts[host].cut = cut;
+}
+
 uint64_t
 wf_acknowledged (void)
 {
@@ -147,7 +167,7 @@
 bool
 wf_paused (unsigned i)
 {
-  return wf_world->instances[i].paused;
+  return wf_world->instances[i].paused_term > 0;
 }
 
 unsigned
