--- a/src/process/control_client.c
+++ b/src/process/control_client.c
@@ -18,6 +18,7 @@
 #include "message_codec.h"
 #include "net.h"
 #include "pace.h"
+#include "pending_reports.h"
 #include "sent_heartbeats.h"
 
 #include <inttypes.h>
@@ -50,9 +51,7 @@
  * @hosts: known control hosts; messages are sent to the selected one
  * @directory: log index of the newest routing data received
  * @live_hosts: number of hosts according to the leader, 0 if not known
- * @report: sent with each heartbeat, or NULL
- * @uses: uses of teams for the next heartbeat, or NULL
- * @announcements: instances for the next heartbeat
+ * @reports: what the next heartbeats tell the leader
  * @requests: operator requests without a reply so far
  */
 struct cfs_control_client
@@ -77,11 +76,7 @@
   uint64_t directory;
   uint32_t live_hosts;
   char *document;
-  Cfs__Peer *report;
-  Cfs__Peer *uses;
-  Cfs__Peer **announcements;
-  size_t announcement_count;
-  size_t announcement_cap;
+  struct pending_reports reports;
   struct forwarded_requests requests;
 };
 
@@ -93,56 +88,17 @@
   return cfs_net_send (c->net, h->address, h->port, msg);
 }
 
-static bool
-is_urgent (const struct cfs_control_client *c)
-{
-  return c->report
-         && (c->report->heartbeat->n_reports
-             || c->report->heartbeat->n_released);
-}
-
 static int64_t
 heartbeat_interval (const struct cfs_control_client *c)
 {
-  if (is_urgent (c))
+  if (pending_reports_hasty (&c->reports))
     return HEARTBEAT_URGENT_US;
-  if (c->report && c->report->heartbeat->n_suspects)
+  if (pending_reports_suspects (&c->reports))
     return HEARTBEAT_SUSPECT_US;
   return c->settings->uses_seeds ? cfs_pace_heartbeat_us (c->live_hosts)
                                  : HEARTBEAT_US;
 }
 
-static void
-free_message (Cfs__Peer *msg)
-{
-  cfs__peer__free_unpacked (msg, NULL);
-}
-
-static void
-free_announcements (struct cfs_control_client *c)
-{
-  for (size_t i = 0; i < c->announcement_count; i++)
-    cfs__peer__free_unpacked (c->announcements[i], NULL);
-  c->announcement_count = 0;
-}
-
-/* Lists all instances that were announced since the last heartbeat. */
-static Cfs__Instance **
-collect_instances (const struct cfs_control_client *c, size_t *count)
-{
-  Cfs__Instance **list;
-  size_t n = 0;
-
-  for (size_t i = 0; i < c->announcement_count; i++)
-    n += c->announcements[i]->heartbeat->n_instances;
-  list = cfs_alloc (n * sizeof *list);
-  *count = 0;
-  for (size_t i = 0; i < c->announcement_count; i++)
-    for (size_t j = 0; j < c->announcements[i]->heartbeat->n_instances; j++)
-      list[(*count)++] = c->announcements[i]->heartbeat->instances[j];
-  return list;
-}
-
 /* Logs once when the control group stops replying; record_reply() logs when it
    replies again. */
 static void
@@ -206,7 +162,7 @@
 record_sent (struct cfs_control_client *c, int64_t now)
 {
   struct sent_heartbeat h
-      = { .seq = c->seq, .sent_at = now, .demand = c->uses != NULL };
+      = { .seq = c->seq, .sent_at = now, .demand = c->reports.uses != NULL };
 
   cfs_copy (h.host, sizeof h.host, control_hosts_selected (&c->hosts)->host);
   sent_heartbeats_add (&c->sent, &h);
@@ -228,26 +184,8 @@
   h.seq = ++c->seq;
   h.version = c->version;
   h.directory = c->directory;
-  if (c->report)
-    {
-      const Cfs__Heartbeat *r = c->report->heartbeat;
-
-      h.draining = r->draining;
-      h.released = r->released;
-      h.n_released = r->n_released;
-      h.reports = r->reports;
-      h.n_reports = r->n_reports;
-      h.suspects = r->suspects;
-      h.n_suspects = r->n_suspects;
-    }
-  if (c->uses)
-    {
-      h.uses = c->uses->heartbeat->uses;
-      h.n_uses = c->uses->heartbeat->n_uses;
-      h.idle_us = c->uses->heartbeat->idle_us;
-    }
   h.members_hash = c->hosts.members_hash;
-  h.instances = collect_instances (c, &h.n_instances);
+  pending_reports_fill (&c->reports, &h);
   out.body_case = CFS__PEER__BODY_HEARTBEAT;
   out.heartbeat = &h;
   c->heartbeat_sent_at = now;
@@ -256,8 +194,7 @@
   if (send_to_leader (c, &out) == CFS_OK)
     {
       record_sent (c, now);
-      free_announcements (c);
-      g_clear_pointer (&c->uses, free_message);
+      pending_reports_sent (&c->reports);
     }
   else
     {
@@ -494,46 +431,20 @@
   if (!c)
     return;
   forwarded_requests_end (&c->requests);
-  free_announcements (c);
-  if (c->report)
-    cfs__peer__free_unpacked (c->report, NULL);
-  g_clear_pointer (&c->uses, free_message);
+  pending_reports_end (&c->reports);
   cfs_net_free (c->net);
-  free (c->announcements);
   free (c->document);
   free (c);
 }
 
-/* Makes the next heartbeat due, unless the leader is being looked for. */
-static void
-send_at_once (struct cfs_control_client *c)
-{
-  if (c->retry_us == 0)
-    c->next_heartbeat_at = 0;
-}
-
 void
 cfs_control_client_report (struct cfs_control_client *c, Cfs__Peer *report)
 {
-  if (report->heartbeat->n_instances)
-    {
-      cfs_grow (&c->announcements, &c->announcement_cap, c->announcement_count,
-                sizeof *c->announcements);
-      c->announcements[c->announcement_count++] = report;
-      return;
-    }
-  if (report->heartbeat->n_uses)
-    {
-      g_clear_pointer (&c->uses, free_message);
-      c->uses = report;
-      send_at_once (c);
-      return;
-    }
-  if (c->report)
-    cfs__peer__free_unpacked (c->report, NULL);
-  c->report = report;
-  if (is_urgent (c) || report->heartbeat->n_suspects)
-    send_at_once (c);
+  bool at_once = pending_reports_add (&c->reports, report);
+
+  /* While the leader is being looked for, attempts are paced. */
+  if (at_once && c->retry_us == 0)
+    c->next_heartbeat_at = 0;
 }
 
 void
