A replica counts as paused by its own status

Callers saw: an acknowledged commit missing at the promoted server, though a known replica had it.

Cause: a replica counted as paused for as long as its connection lived, because a PAUSE had been sent and a row had come back.

Change: paused is what the row of the last status says. One that is not paused is told to again, with a term above all that were seen, each 50 ms.

--- a/src/process/failover_int.h
+++ b/src/process/failover_int.h
@@ -47,7 +47,7 @@
 
 /**
  * struct probe - connection to an instance, with at most one query pending
- * @paused: the instance replied that it is a paused replica
+ * @paused: the last status is that of a paused replica
  * @demoted: the instance replied to a demotion and is a replica now
  * @status_known: @status holds a reply; false again once the connection is
  * lost
@@ -55,6 +55,7 @@
  * @sent_at: when the connection was started or the last query was sent
  * @asked_at: when the query was sent whose reply gave @status
  * @term: highest term seen in a reply
+ * @pause_term: term of the last PAUSE
  * @verb: last query
  * @absent: the last connection attempt showed that the instance is not there:
  * it was refused, or another instance accepted it
@@ -81,6 +82,7 @@
   int64_t replied_at;
   int64_t retry_at;
   uint64_t term;
+  uint64_t pause_term;
   struct cfs_instance_state status;
   enum cfs_verb verb;
   bool absent;
--- a/src/process/failover_probe.c
+++ b/src/process/failover_probe.c
@@ -14,6 +14,9 @@
 #define WATCH_INTERVAL_US (300 * CFS_US_PER_MS)
 /* Delay before a lost connection is opened again. */
 #define RECONNECT_DELAY_US (50 * CFS_US_PER_MS)
+/* Delay before a replica that did not pause is told to again, with a higher
+   term. */
+#define ORDER_RETRY_US (50 * CFS_US_PER_MS)
 /* Team in whose name the leader connects. */
 #define CONTROL_TEAM "control"
 
@@ -80,17 +83,24 @@
   m->ops->primary_position (m->ctx, t->service, &r->position, p->sent_at);
 }
 
-/* Logs that a replica which counts as paused says that it receives the log. */
+/* Whether the last status is that of a paused replica.  A PAUSE has no effect
+   unless its term is above that of the replica, and a promotion, a restart or
+   a RESUME that is carried out late ends a pause. */
 static void
-log_false_pause (const struct probe *p)
+update_paused (struct probe *p)
 {
-  if (p->paused && p->status.paused_term == 0)
-    cfs_log (
-        CFS_WARNING, PART,
-        "target=%s counts as paused and is not: after verb=%s term=%" PRIu64
-        " position=%" PRIu64 ".%" PRIu64,
-        p->target, cfs_verb_name (p->verb), p->status.term,
-        p->status.received.term, p->status.received.number);
+  const struct cfs_instance_state *s = &p->status;
+  bool was_paused = p->paused;
+
+  p->paused = s->paused_term != 0;
+  if (p->verb == VERB_PAUSE && p->pause_term > s->term)
+    p->paused = true;
+  p->paused = p->paused && p->status_known && !s->primary;
+  if (was_paused && !p->paused)
+    cfs_log (CFS_WARNING, PART,
+             "target=%s is not paused any more, term=%" PRIu64
+             " position=%" PRIu64 ".%" PRIu64,
+             p->target, s->term, s->received.term, s->received.number);
 }
 
 static void
@@ -116,15 +126,13 @@
            || p->verb == VERB_DEMOTE)
     {
       p->status_known = p->owner->adapter->read_status (r, &p->status);
-      p->paused = p->status_known && !p->status.primary
-                  && (p->paused || p->verb == VERB_PAUSE);
+      update_paused (p);
       p->demoted = p->status_known && !p->status.primary
                    && (p->demoted || p->verb == VERB_DEMOTE);
       p->replied_at = p->owner->clock ();
       p->asked_at = p->sent_at;
       if (p->status_known && p->status.term > p->term)
         p->term = p->status.term;
-      log_false_pause (p);
     }
 }
 
@@ -328,7 +336,14 @@
   if (!p->status_known && strcmp (p->target, f->former_primary) == 0)
     send_query (p, &demote, now);
   else if (now >= f->pause_at && !p->paused && !p->status.primary)
-    send_query (p, &pause, now);
+    {
+      if (p->verb != VERB_PAUSE || !p->status_known
+          || now - p->replied_at >= ORDER_RETRY_US)
+        {
+          p->pause_term = pause.term;
+          send_query (p, &pause, now);
+        }
+    }
   else if (p->status_known && now - p->replied_at > STATUS_MAX_AGE_US / 2)
     failover_query_status (p, now);
 }
