A failover doesn't wait for a reply that does not come

Callers saw: a service without a primary for seconds, until the failover was begun anew by another leader; statements that need it waited and were refused.

Cause: three ways in which the leader sent an instance nothing any more. A PAUSE, DEMOTE or STATUS without a reply was waited for without a limit. After a connection to an instance that led by its last status was lost, the new one got no query. A primary that was demoted, and promoted again by an earlier request, was neither demoted nor paused again.

Change: a query is given up after 1.1 s and the connection opened again; what an instance said on a connection that is gone counts no more; the former primary is demoted whenever it says that it leads.

--- a/src/process/failover_probe.c
+++ b/src/process/failover_probe.c
@@ -14,9 +14,12 @@
 #define WATCH_INTERVAL_US (300 * CFS_US_PER_MS)
 /* Delay before a lost connection is opened again. */
 #define RECONNECT_DELAY_US (50 * CFS_US_PER_MS)
-/* Delay before a replica that did not pause is told to again, with a higher
-   term. */
+/* Delay before a replica that did not pause, or a primary that was promoted
+   again after its demotion, is told to again, with a higher term. */
 #define ORDER_RETRY_US (50 * CFS_US_PER_MS)
+/* A query of a failover without a reply for this time is given up; the
+   instance may still carry it out. */
+#define QUERY_TIMEOUT_US (1100 * CFS_US_PER_MS)
 /* Team in whose name the leader connects. */
 #define CONTROL_TEAM "control"
 
@@ -328,14 +331,20 @@
   struct cfs_statement demote
       = { .verb = VERB_DEMOTE, .term = f->max_term + 1 };
   struct cfs_statement pause = { .verb = VERB_PAUSE, .term = f->max_term + 1 };
+  bool leads = p->status_known && p->status.primary;
 
+  if (p->conn && (p->query_pending || !p->connected)
+      && now - p->sent_at > QUERY_TIMEOUT_US)
+    failover_close_probe (p);
   failover_open_probe (m, p, cfs_table_find (&m->state->targets, p->target),
                        now);
   if (!p->connected || p->query_pending)
     return;
-  if (!p->status_known && strcmp (p->target, f->former_primary) == 0)
+  if (strcmp (p->target, f->former_primary) == 0
+      && (!p->status_known
+          || (leads && now - p->replied_at >= ORDER_RETRY_US)))
     send_query (p, &demote, now);
-  else if (now >= f->pause_at && !p->paused && !p->status.primary)
+  else if (now >= f->pause_at && !p->paused && !leads)
     {
       if (p->verb != VERB_PAUSE || !p->status_known
           || now - p->replied_at >= ORDER_RETRY_US)
--- a/tests/unit/failover_random.c
+++ b/tests/unit/failover_random.c
@@ -150,6 +150,24 @@
   wf_end ();
 }
 
+/* The failover ends while the held orders are still not carried out. */
+static void
+a_failover_does_not_wait_for_a_lost_reply_to_a_pause (void **state)
+{
+  (void)state;
+  wf_start (9);
+  wf_run (5 * CFS_US_PER_S);
+  wf_hold_orders (1, true);
+  wf_kill (0);
+  wf_run (2 * CFS_US_PER_S);
+  assert_int_equal (wf_failover_count (), 0);
+  wf_hold_orders (1, false);
+  wf_run (FAILOVER_MAX_US);
+  assert_int_equal (wf_failover_count (), 1);
+  assert_null (wf_violation ());
+  wf_end ();
+}
+
 static void
 an_older_instance_at_the_same_address_is_removed (void **state)
 {
@@ -182,6 +200,7 @@
     cmocka_unit_test (a_failed_primary_is_replaced_in_time),
     cmocka_unit_test (a_primary_that_hosts_suspect_is_replaced),
     cmocka_unit_test (no_promotion_while_a_replica_is_unreachable),
+    cmocka_unit_test (a_failover_does_not_wait_for_a_lost_reply_to_a_pause),
     cmocka_unit_test (no_replica_stays_paused_after_a_cancelled_failover),
     cmocka_unit_test (no_commit_is_lost_when_promotions_are_carried_out_late),
     cmocka_unit_test (acknowledged_commits_survive_random_failovers)
