--- a/src/connection/session.c
+++ b/src/connection/session.c
@@ -44,6 +44,7 @@
 
   ss->setup = *setup;
   ss->samples = cfs_samples_new (setup->pool);
+  cfs_passed_acks_init (&ss->acks);
   return ss;
 }
 
@@ -53,6 +54,7 @@
   if (!ss)
     return;
   cfs_samples_free (ss->samples);
+  cfs_passed_acks_end (&ss->acks);
   session_waits_free (ss);
   free (ss);
 }
@@ -568,6 +570,12 @@
   ss->draining = true;
 }
 
+const struct cfs_passed_acks *
+cfs_sessions_acks (const struct cfs_sessions *ss)
+{
+  return &ss->acks;
+}
+
 size_t
 cfs_sessions_count (const struct cfs_sessions *ss)
 {
--- a/src/connection/session.h
+++ b/src/connection/session.h
@@ -11,6 +11,7 @@
 #ifndef CFS_SESSION_H
 #define CFS_SESSION_H
 
+#include "../process/ack_lease.h"
 #include "../request/quota.h"
 #include "pool.h"
 
@@ -77,6 +78,10 @@
  */
 void cfs_sessions_end (struct cfs_sessions *sessions, int64_t now);
 
+/** cfs_sessions_acks() - acknowledgements of commits passed on to callers */
+const struct cfs_passed_acks *
+cfs_sessions_acks (const struct cfs_sessions *sessions);
+
 /** cfs_sessions_count() - number of open sessions */
 size_t cfs_sessions_count (const struct cfs_sessions *sessions);
 
--- a/src/connection/session_int.h
+++ b/src/connection/session_int.h
@@ -1,11 +1,12 @@
 /**
- * DOC: Private declarations of sessions, shared by session.c, session_run.c,
- * session_wait.c, session_reject.c, session_report.c, session_setup.c,
- * session_stats.c and session_values.c.
+ * DOC: Private declarations of sessions, shared by session.c,
+ * session_commit.c, session_run.c, session_wait.c, session_reject.c,
+ * session_report.c, session_setup.c, session_stats.c and session_values.c.
  */
 #ifndef CFS_SESSION_INT_H
 #define CFS_SESSION_INT_H
 
+#include "../process/ack_lease.h"
 #include "../process/placement.h"
 #include "sample.h"
 #include "session.h"
@@ -168,6 +169,7 @@
  * @blocked: statements rejected because no target may run them
  * @evacuated: transactions ended because of an evacuation
  * @cold_tokens: tokens of cold targets used
+ * @acks_withheld: commits told as unknown for lack of an acknowledgement lease
  */
 struct session_stats
 {
@@ -176,6 +178,7 @@
   uint64_t blocked;
   uint64_t evacuated;
   uint64_t cold_tokens;
+  uint64_t acks_withheld;
   uint64_t rejected[REJECT_REASONS];
   uint64_t latency[LATENCY_BUCKETS + 1];
   uint64_t latency_sum_ms;
@@ -197,6 +200,7 @@
  * @service_waits: wait queues of the services
  * @picked: session that a pass over a queue advances, or NULL
  * @no_room: that session found no room at the instances
+ * @acks: acknowledgements of commits passed on to callers
  */
 struct cfs_sessions
 {
@@ -210,6 +214,7 @@
   struct service_waits *service_waits;
   struct cfs_session *picked;
   bool no_room;
+  struct cfs_passed_acks acks;
   struct session_stats stats;
 };
 
@@ -263,6 +268,23 @@
  * transaction, see session_run.c */
 bool session_wraps_in_tx (const struct cfs_session *session);
 
+/** session_commits() - whether the success of the current statement tells the
+ * caller that writes have been committed */
+bool session_commits (const struct cfs_session *session);
+
+/** session_may_acknowledge() - whether this host may tell the caller so of a
+ * commit at @target */
+bool session_may_acknowledge (const struct cfs_session *session,
+                              const char *target, int64_t now);
+
+/**
+ * session_accept_commit() - takes the position of a commit that succeeded
+ *
+ * Return: false, after a log line, if the caller must not be told.
+ */
+bool session_accept_commit (struct cfs_session *session,
+                            const struct cfs_position *position, int64_t now);
+
 /** session_phase_name() - name of a phase in log lines */
 const char *session_phase_name (enum op_phase phase);
 
--- a/src/connection/session_run.c
+++ b/src/connection/session_run.c
@@ -136,6 +136,8 @@
   if (session_needs_primary (s))
     {
       t = cfs_pool_primary (pool, s->service, &scope, now);
+      if (t && session_commits (s) && !session_may_acknowledge (s, t->id, now))
+        return NULL;
       return t && cfs_pool_accepts (pool, t->id, now) ? t : NULL;
     }
   t = cfs_pool_choose (pool, s->service, s->team, &scope, &s->op.min_position,
@@ -148,6 +150,23 @@
 
 static const struct cfs_pooled_conn_events conn_events;
 
+/* The connection on which the transaction of the session is open. */
+static void
+acquire_own_conn (struct cfs_session *s, int64_t now)
+{
+  const char *target = cfs_pooled_conn_target (s->conn);
+
+  if (session_commits (s) && !session_may_acknowledge (s, target, now))
+    {
+      s->op.phase = OP_CONN;
+      s->op.last_code = REPLY_NOT_PRIMARY;
+      s->op.retry_at = now + NO_TARGET_RETRY_US;
+      return;
+    }
+  cfs_copy (s->op.target, sizeof s->op.target, target);
+  prepare_conn (s);
+}
+
 static void
 acquire_conn (struct cfs_session *s, int64_t now)
 {
@@ -156,9 +175,7 @@
 
   if (s->tx_on_conn)
     {
-      cfs_copy (s->op.target, sizeof s->op.target,
-                cfs_pooled_conn_target (s->conn));
-      prepare_conn (s);
+      acquire_own_conn (s, now);
       return;
     }
   s->op.phase = OP_POSITION;
@@ -410,12 +427,15 @@
   cfs_pool_release (conn, now);
 }
 
+/* The instance has committed, but a promotion that does not contain the commit
+   may be under way. */
 static void
-record_commit (struct cfs_session *s, const struct cfs_position *p)
+withhold_commit (struct cfs_session *s, int64_t now)
 {
-  if (cfs_position_compare (p, &s->own_commit) > 0)
-    s->own_commit = *p;
-  cfs_samples_add (s->owner->samples, s->service, p, s->op.sent_at);
+  release_conn (s, now);
+  session_fail_statement (s, REPLY_UNKNOWN,
+                          "the primary is being replaced or is not confirmed",
+                          now);
 }
 
 static void
@@ -432,11 +452,10 @@
       return;
     }
   session_record_result (s, CAPACITY_OK, now);
-  if ((s->state == TX_IDLE && s->op.writes) || (commit && s->tx_wrote))
+  if (session_commits (s) && !session_accept_commit (s, &r->position, now))
     {
-      record_commit (s, &r->position);
-      cfs_pool_note_stuck (s->owner->setup.pool,
-                           cfs_pooled_conn_target (s->conn), false, now);
+      withhold_commit (s, now);
+      return;
     }
   s->tx_answered = true;
   if (s->state == TX_IDLE || commit)
--- a/src/connection/session_stats.c
+++ b/src/connection/session_stats.c
@@ -74,8 +74,10 @@
       out,
       "coltsfootstage_placement_blocked_total %" PRIu64 "\n"
       "coltsfootstage_transactions_evacuated_total %" PRIu64 "\n"
-      "coltsfootstage_cold_tokens_used_total %" PRIu64 "\n",
-      ss->stats.blocked, ss->stats.evacuated, ss->stats.cold_tokens);
+      "coltsfootstage_cold_tokens_used_total %" PRIu64 "\n"
+      "coltsfootstage_acknowledgements_withheld_total %" PRIu64 "\n",
+      ss->stats.blocked, ss->stats.evacuated, ss->stats.cold_tokens,
+      ss->stats.acks_withheld);
   for (int i = 0; i <= LATENCY_BUCKETS; i++)
     {
       sum += ss->stats.latency[i];
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -347,6 +347,8 @@
       cfs_leader_set_members (c->leader, cfs_raft_members (c->raft));
       reply = cfs_leader_heartbeat (c->leader, in, now);
     }
+  if (reply)
+    control_notify_replied (c, in->host, from);
   denied.seq = in->seq;
   denied.leader = (char *)cfs_raft_leader (c->raft);
   out.body_case = CFS__PEER__BODY_REPLY;
@@ -480,6 +482,7 @@
   randombytes_buf (&initial.seed, sizeof initial.seed);
   initial.manages_voters = settings->uses_seeds;
   control_fleet_init (c);
+  control_notify_init (&c->notify);
   if (prepare_folder (settings, error))
     c->disk
         = cfs_disk_open (settings->data_folder, &initial, new_id | 2, error);
@@ -507,6 +510,7 @@
   if (!c)
     return;
   control_fleet_end (c);
+  control_notify_end (&c->notify);
   cfs_raft_free (c->raft);
   cfs_leader_free (c->leader);
   cfs_state_end (&c->state);
@@ -547,6 +551,7 @@
   cfs_leader_tick (c->leader, confirmed, cfs_raft_commit_index (c->raft), now);
   finish_patches (c, confirmed, now);
   control_fleet_tick (c, confirmed, now);
+  control_notify_tick (c, confirmed);
   log_role_change (c);
 }
 
--- a/src/process/control_client.c
+++ b/src/process/control_client.c
@@ -37,6 +37,9 @@
 #define REPLY_TIMEOUT_MAX_US (300 * CFS_US_PER_MS)
 /* Interval between heartbeats while a target is unreachable. */
 #define HEARTBEAT_SUSPECT_US (100 * CFS_US_PER_MS)
+/* Heartbeats in the time of one while a failover is open, so that its end is
+   known soon. */
+#define FAILOVER_HEARTBEATS 3
 /* After this time without a reply the loss of the control group is logged. */
 #define CONTROL_LOST_US (1500 * CFS_US_PER_MS)
 
@@ -47,6 +50,7 @@
  * @retry_us: delay before the next attempt to find the leader, 0 if none
  * failed since the leader's last reply
  * @redirected: the last heartbeat was sent where a reply pointed to
+ * @requested: the leader requested a heartbeat since the last one was sent
  * @sent: heartbeats that may still be replied to
  * @hosts: known control hosts; messages are sent to the selected one
  * @directory: log index of the newest routing data received
@@ -69,6 +73,7 @@
   int64_t reply_timeout_us;
   int64_t retry_us;
   bool redirected;
+  bool requested;
   bool control_lost;
   int64_t last_reply_at;
   struct control_hosts hosts;
@@ -95,6 +100,8 @@
     return HEARTBEAT_URGENT_US;
   if (pending_reports_suspects (&c->reports))
     return HEARTBEAT_SUSPECT_US;
+  if (pending_reports_ack_stops (&c->reports))
+    return cfs_pace_heartbeat_us (c->live_hosts) / FAILOVER_HEARTBEATS;
   return c->settings->uses_seeds ? cfs_pace_heartbeat_us (c->live_hosts)
                                  : HEARTBEAT_US;
 }
@@ -142,6 +149,8 @@
 static bool
 may_send_heartbeat (const struct cfs_control_client *c, int64_t now)
 {
+  if (c->requested && c->reply_received && c->retry_us == 0)
+    return true;
   return now >= c->next_heartbeat_at
          && (c->reply_received
              || now - c->heartbeat_sent_at >= c->reply_timeout_us);
@@ -189,6 +198,7 @@
   out.body_case = CFS__PEER__BODY_HEARTBEAT;
   out.heartbeat = &h;
   c->heartbeat_sent_at = now;
+  c->requested = false;
   c->reply_received = false;
   c->next_heartbeat_at = now + heartbeat_interval (c);
   if (send_to_leader (c, &out) == CFS_OK)
@@ -394,6 +404,8 @@
   (void)from;
   if (msg->body_case == CFS__PEER__BODY_REPLY)
     handle_reply (c, msg->reply, cfs_now ());
+  else if (msg->body_case == CFS__PEER__BODY_HEARTBEAT_REQUEST)
+    c->requested = true;
   else if (msg->body_case == CFS__PEER__BODY_CALLED)
     handle_operator_reply (c, msg->called);
   else if (msg->body_case == CFS__PEER__BODY_TOKENS_GRANT)
--- a/src/process/control_fleet.c
+++ b/src/process/control_fleet.c
@@ -192,9 +192,19 @@
                                             hosts);
 }
 
+static bool
+acks_stopped (void *ctx, const char *service, uint64_t since_index,
+              int64_t since, struct cfs_position *highest)
+{
+  const struct cfs_control *c = ctx;
+
+  return cfs_leader_acks_stopped (c->leader, service, since_index, since,
+                                  cfs_now (), highest);
+}
+
 static const struct cfs_failover_ops failover_ops
-    = { propose_failover, promote, primary_position, departure_proven,
-        suspecting_hosts };
+    = { propose_failover, promote,          primary_position,
+        departure_proven, suspecting_hosts, acks_stopped };
 
 void
 cfs_control_serve_fleet (struct cfs_control *c,
--- a/src/process/control_int.h
+++ b/src/process/control_int.h
@@ -80,6 +80,20 @@
   const char *host;
 };
 
+/**
+ * struct control_notify - requests for heartbeats after a failover has changed
+ * @hosts: table of hosts that sent heartbeats, with the index up to which each
+ * was informed
+ * @directory: directory index at which @newest was determined
+ * @newest: log index of the newest change of a failover
+ */
+struct control_notify
+{
+  struct cfs_table hosts;
+  uint64_t directory;
+  uint64_t newest;
+};
+
 struct cfs_control
 {
   const struct cfs_settings *settings;
@@ -98,6 +112,7 @@
   enum cfs_raft_role logged_role;
   struct control_load load;
   struct fleet_state fleet;
+  struct control_notify notify;
 };
 
 /** control_propose() - appends a command to the replicated log; returns its
@@ -142,6 +157,21 @@
 void control_placement_metrics (const struct cfs_control *control,
                                 GString *out);
 
+/** control_notify_init() - starts without hosts */
+void control_notify_init (struct control_notify *notify);
+
+/** control_notify_end() - frees the table */
+void control_notify_end (struct control_notify *notify);
+
+/** control_notify_replied() - records that the reply to a host's heartbeat, of
+ * the origin @from, has all that is applied */
+void control_notify_replied (struct cfs_control *control, const char *host,
+                             const struct cfs_origin *from);
+
+/** control_notify_tick() - requests heartbeats of hosts that do not know the
+ * newest change of a failover, a bounded number at a time */
+void control_notify_tick (struct cfs_control *control, bool confirmed);
+
 /** control_fleet_init() - starts without heartbeats and waiters */
 void control_fleet_init (struct cfs_control *control);
 
--- a/src/process/failover.c
+++ b/src/process/failover.c
@@ -273,9 +273,12 @@
              int64_t now)
 {
   const struct cfs_target *primary = current_primary (m, f);
-  struct probe_summary summary = failover_poll_instances (m, f, now);
+  struct probe_summary summary;
   const struct probe *candidate = NULL;
 
+  failover_await_acks (m, f, now);
+  summary = failover_poll_instances (m, f, now);
+
   if (another_leads (f, &summary))
     {
       accept_primary (m, f, summary.primary, now);
@@ -325,12 +328,25 @@
   run_pausing (m, f, now);
 }
 
+/* Hosts stay stopped while the failover is begun again. */
+static void
+note_opened (struct failover_state *f, int64_t now)
+{
+  if (f->opened_at)
+    return;
+  f->opened_at = now;
+  f->opened_index = f->log_index;
+}
+
 static void
 run_opening (struct cfs_failover_manager *m, struct failover_state *f,
              uint64_t committed, int64_t now)
 {
   if (committed >= f->log_index)
-    begin_pausing (m, f, now);
+    {
+      note_opened (f, now);
+      begin_pausing (m, f, now);
+    }
   else if (now - f->phase_started_at > COMMIT_TIMEOUT_US)
     enter_phase (f, PHASE_MONITORING, now);
 }
@@ -444,6 +460,8 @@
            f->service, t ? t->id : "-", reason);
   f->promotion_sent = failover && failover->open;
   f->started_at = now;
+  f->opened_at = 0;
+  f->acks_stopped_at = 0;
   cfs_copy (f->replaced, sizeof f->replaced,
             is_planned (m, f, t, now) ? t->id : "");
   memset (&f->waits_for, 0, sizeof f->waits_for);
--- a/src/process/failover.h
+++ b/src/process/failover.h
@@ -49,6 +49,10 @@
  * lost; records this in the replicated log
  * @suspecting_hosts: returns the number of hosts that report a target as
  * unreachable, and sets @hosts to the number of hosts alive
+ * @acks_stopped: returns whether no host passes on acknowledgements of a
+ * service any more since the failover record with log index @since_index was
+ * applied at @since; sets @highest to the highest position that such an
+ * acknowledgement came with, term 0 if there is none
  */
 struct cfs_failover_ops
 {
@@ -60,6 +64,8 @@
                             int64_t requested_at);
   void (*departure_proven) (void *ctx, const char *target);
   size_t (*suspecting_hosts) (void *ctx, const char *target, size_t *hosts);
+  bool (*acks_stopped) (void *ctx, const char *service, uint64_t since_index,
+                        int64_t since, struct cfs_position *highest);
 };
 
 /**
--- a/src/process/failover_choice.c
+++ b/src/process/failover_choice.c
@@ -1,9 +1,15 @@
 /*
  * The choice of the instance to promote, of those whose logs are known, and
- * the two bounds that it must meet.  Either prevents alone that a commit is
- * lost with a replica that departed, or one that never announced itself:
- * every acknowledged commit is in a known log, and no candidate is behind the
- * longest of these or a position that the leader saw at the primary.
+ * the bounds that it must meet.  Every acknowledged commit is in a known log,
+ * and no candidate is behind the longest of these, a position that the leader
+ * saw at the primary, or one that came with an acknowledgement which a host
+ * passed on.
+ *
+ * What is known of the logs holds only while no commit is acknowledged any
+ * more: a pause can end unnoticed, a replica can begin to receive, and an
+ * earlier promotion request can be carried out.  So either the primary has
+ * confirmed its demotion, or the statuses were requested after the hosts had
+ * stopped to pass on acknowledgements.
  */
 #include "failover_int.h"
 
@@ -16,12 +22,45 @@
 /* A former primary that has not come back with its log for this time is not
    waited for where every acknowledged commit is accounted for. */
 #define PRIMARY_RETURN_US (30 * CFS_US_PER_S)
+/* A position that came with an acknowledgement, and is often higher than that
+   of the commit, binds for this time: a replica that joined has announced
+   itself by then, and a cut has often ended. */
+#define ACKED_RETURN_US (10 * CFS_US_PER_S)
 
 /* Whether the log of an instance can grow no more and its end is known. */
 static bool
-log_is_known (const struct probe *p, int64_t now)
+log_is_known (const struct failover_state *f, const struct probe *p,
+              int64_t now)
 {
-  return p->demoted || (p->paused && now - p->replied_at < STATUS_MAX_AGE_US);
+  return p->demoted || (p->paused && failover_status_is_current (f, p, now));
+}
+
+/* Whether the log of the primary that is replaced is known, and certainly no
+   other was promoted since. */
+static bool
+former_log_is_known (struct failover_state *f, int64_t now)
+{
+  const struct probe *former
+      = *f->former_primary ? failover_find_probe (f, f->former_primary) : NULL;
+
+  return former && !f->promotion_sent && log_is_known (f, former, now);
+}
+
+void
+failover_await_acks (const struct cfs_failover_manager *m,
+                     struct failover_state *f, int64_t now)
+{
+  bool stopped = m->ops->acks_stopped (m->ctx, f->service, f->opened_index,
+                                       f->opened_at, &f->acked);
+
+  if (!stopped || f->acks_stopped_at)
+    return;
+  f->acks_stopped_at = now;
+  cfs_log (CFS_NOTICE, PART,
+           "service=%s no host passes on acknowledgements, highest=%" PRIu64
+           ".%" PRIu64 " took_ms=%" PRId64,
+           f->service, f->acked.term, f->acked.number,
+           (now - f->opened_at) / CFS_US_PER_MS);
 }
 
 /* Order of preference among equal logs: outside of evacuated zones, then not
@@ -63,7 +102,7 @@
                                              &best->status.received)
                      : 1;
 
-      if (!t || t->gone || !log_is_known (p, now) || cmp < 0
+      if (!t || t->gone || !log_is_known (f, p, now) || cmp < 0
           || (cmp == 0 && rank <= best_rank))
         continue;
       best = p;
@@ -81,10 +120,18 @@
          && summary->ended >= summary->departed;
 }
 
-/* Position that a candidate must have reached: the end of the longest log, and
-   the highest position that the leader saw at a primary.  The latter can be
-   higher than that of any acknowledged commit, so it is given up when the
-   primary does not come back. */
+static void
+raise_position (struct cfs_position *p, const struct cfs_position *to)
+{
+  if (cfs_position_compare (to, p) > 0)
+    *p = *to;
+}
+
+/* Position that a candidate must have reached: the end of the longest log, the
+   highest position that the leader saw at a primary, and the highest that came
+   with an acknowledgement.  The last two can be higher than that of any
+   acknowledged commit, so they are given up when the primary does not come
+   back. */
 static struct cfs_position
 required_position (const struct failover_state *f,
                    const struct probe_summary *summary, int64_t now)
@@ -93,13 +140,14 @@
 
   if (now - f->started_at < PRIMARY_RETURN_US && !all_others_left (summary))
     required = f->seen;
+  if (now - f->started_at < ACKED_RETURN_US)
+    raise_position (&required, &f->acked);
   for (size_t i = 0; i < f->probe_count; i++)
     {
       const struct probe *p = &f->probes[i];
 
-      if (log_is_known (p, now)
-          && cfs_position_compare (&p->status.received, &required) > 0)
-        required = p->status.received;
+      if (log_is_known (f, p, now))
+        raise_position (&required, &p->status.received);
     }
   return required;
 }
@@ -113,10 +161,7 @@
 commits_are_known (struct failover_state *f,
                    const struct probe_summary *summary, int64_t now)
 {
-  const struct probe *former
-      = *f->former_primary ? failover_find_probe (f, f->former_primary) : NULL;
-
-  return (former && !f->promotion_sent && log_is_known (former, now))
+  return former_log_is_known (f, now)
          || summary->paused + 1 >= summary->known + summary->departed;
 }
 
@@ -150,7 +195,7 @@
   struct cfs_position required = required_position (f, summary, now);
   bool known = commits_are_known (f, summary, now);
 
-  if (!candidate)
+  if (!candidate || (!f->acks_stopped_at && !former_log_is_known (f, now)))
     return NULL;
   if (cfs_position_compare (&candidate->status.received, &required) < 0
       || (!known && !all_others_left (summary)))
--- a/src/process/failover_int.h
+++ b/src/process/failover_int.h
@@ -123,6 +123,12 @@
  * @max_term: highest term seen at any instance
  * @promotion_sent: a promotion request of this failover may be carried out
  * @former_primary: primary at the start of the current attempt
+ * @opened_index: log index of the first record of this failover that this
+ * leader applied
+ * @opened_at: when that was applied, 0 before
+ * @acks_stopped_at: since when no host passes on acknowledgements of the
+ * service, 0 before
+ * @acked: highest position that hosts passed on with an acknowledgement
  * @pause_at: when replicas may be paused
  * @retry_at: no failover starts before
  * @seen: highest position that a primary had while this host was leader
@@ -150,6 +156,10 @@
   bool promotion_sent;
   char former_primary[CFS_NAME_MAX];
   char replaced[CFS_NAME_MAX];
+  uint64_t opened_index;
+  int64_t opened_at;
+  int64_t acks_stopped_at;
+  struct cfs_position acked;
   int64_t pause_at;
   int64_t phase_started_at;
   int64_t started_at;
@@ -248,6 +258,16 @@
                              struct failover_state *state,
                              const struct cfs_target *target, int64_t now);
 
+/** failover_status_is_current() - whether the last status is recent, and not
+ * older than the last acknowledgement that a host passed on */
+bool failover_status_is_current (const struct failover_state *state,
+                                 const struct probe *probe, int64_t now);
+
+/** failover_await_acks() - asks whether hosts have stopped to pass on
+ * acknowledgements; to be repeated while the failover is open */
+void failover_await_acks (const struct cfs_failover_manager *manager,
+                          struct failover_state *state, int64_t now);
+
 /** failover_poll_instances() - sends due queries to all instances and
  * summarizes their statuses */
 struct probe_summary
--- a/src/process/failover_probe.c
+++ b/src/process/failover_probe.c
@@ -353,7 +353,9 @@
           send_query (p, &pause, now);
         }
     }
-  else if (p->status_known && now - p->replied_at > STATUS_MAX_AGE_US / 2)
+  else if (p->status_known
+           && (now - p->replied_at > STATUS_MAX_AGE_US / 2
+               || p->asked_at < f->acks_stopped_at))
     failover_query_status (p, now);
 }
 
@@ -397,6 +399,14 @@
   return t && !cfs_target_has_left (t);
 }
 
+bool
+failover_status_is_current (const struct failover_state *f,
+                            const struct probe *p, int64_t now)
+{
+  return p->status_known && now - p->replied_at < STATUS_MAX_AGE_US
+         && p->asked_at >= f->acks_stopped_at;
+}
+
 struct probe_summary
 failover_poll_instances (struct cfs_failover_manager *m,
                          struct failover_state *f, int64_t now)
@@ -411,7 +421,7 @@
   for (size_t i = 0; i < f->probe_count; i++)
     {
       struct probe *p = &f->probes[i];
-      bool fresh = p->status_known && now - p->replied_at < STATUS_MAX_AGE_US;
+      bool fresh = failover_status_is_current (f, p, now);
 
       if (!*p->target)
         continue;
--- a/src/process/front.c
+++ b/src/process/front.c
@@ -59,6 +59,7 @@
   int64_t demand_sent_at;
   unsigned demand_reports;
   uint64_t suspects_hash;
+  uint64_t ack_stops_hash;
   bool draining;
   bool was_ready;
 };
@@ -107,6 +108,7 @@
   cfs_settings_caller_limits (settings, &limits);
   f->settings = settings;
   f->suspects_hash = 1;
+  f->ack_stops_hash = 1;
   cfs_fleet_init (&f->fleet, settings, &document_decoder);
   cfs_quota_init (&f->quota, cfs_now ());
   apr_pool_create (&f->apr_pool, NULL);
@@ -327,27 +329,74 @@
     h->suspects[h->n_suspects++] = (char *)target;
 }
 
-/* Reports the unreachable targets to the control thread when they change. */
-static void
-send_suspects (struct cfs_front *f, int64_t now)
+/* Logs which targets have become unreachable.  Returns whether they have
+   changed. */
+static bool
+suspects_changed (struct cfs_front *f, char *const *suspects, size_t count)
 {
-  char *suspects[HOST_SUSPECTS_MAX];
-  Cfs__Peer out = CFS__PEER__INIT;
-  Cfs__Heartbeat h = CFS__HEARTBEAT__INIT;
   uint64_t hash = 1;
 
-  h.suspects = suspects;
-  h.draining = f->draining;
-  cfs_pool_suspects (f->pool, now, add_suspect, &h);
-  for (size_t i = 0; i < h.n_suspects; i++)
+  for (size_t i = 0; i < count; i++)
     {
       hash = cfs_hash (suspects[i], strlen (suspects[i]), hash);
       if (f->suspects_hash == 1)
         cfs_log (CFS_NOTICE, PART, "target=%s is unreachable", suspects[i]);
     }
   if (hash == f->suspects_hash)
-    return;
+    return false;
   f->suspects_hash = hash;
+  return true;
+}
+
+/* Logs of which services this host passes on no acknowledgements.  Returns
+   whether they have changed. */
+static bool
+ack_stops_changed (struct cfs_front *f, Cfs__AckStop *const *stops,
+                   size_t count)
+{
+  uint64_t hash = 1;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      hash = cfs_hash (stops[i]->service, strlen (stops[i]->service), hash);
+      hash = cfs_hash (&stops[i]->changed, sizeof stops[i]->changed, hash);
+    }
+  if (hash == f->ack_stops_hash)
+    return false;
+  f->ack_stops_hash = hash;
+  for (size_t i = 0; i < count; i++)
+    cfs_log (CFS_NOTICE, PART,
+             "service=%s failover index=%" PRIu64
+             " is open, passes on no acknowledgements, highest=%" PRIu64
+             ".%" PRIu64,
+             stops[i]->service, stops[i]->changed, stops[i]->term,
+             stops[i]->number);
+  return true;
+}
+
+/* Reports the unreachable targets and the services without acknowledgements to
+   the control thread when they change. */
+static void
+send_report (struct cfs_front *f, int64_t now)
+{
+  char *suspects[HOST_SUSPECTS_MAX];
+  Cfs__AckStop stops[ACK_STOPS_MAX];
+  Cfs__AckStop *stop_list[ACK_STOPS_MAX];
+  Cfs__Peer out = CFS__PEER__INIT;
+  Cfs__Heartbeat h = CFS__HEARTBEAT__INIT;
+  bool changed;
+
+  h.suspects = suspects;
+  h.draining = f->draining;
+  cfs_pool_suspects (f->pool, now, add_suspect, &h);
+  h.ack_stops = stop_list;
+  h.n_ack_stops = cfs_passed_acks_stops (cfs_sessions_acks (f->sessions),
+                                         &f->fleet, stops, ACK_STOPS_MAX);
+  for (size_t i = 0; i < h.n_ack_stops; i++)
+    stop_list[i] = &stops[i];
+  changed = suspects_changed (f, suspects, h.n_suspects);
+  if (!ack_stops_changed (f, stop_list, h.n_ack_stops) && !changed)
+    return;
   out.body_case = CFS__PEER__BODY_HEARTBEAT;
   out.heartbeat = &h;
   cfs_thread_channel_send (f->channel, &out);
@@ -412,7 +461,7 @@
   callers_tick (f->callers, now);
   send_demand (f, now);
   send_token_request (f, now);
-  send_suspects (f, now);
+  send_report (f, now);
   log_readiness (f);
 }
 
--- a/src/process/leader.c
+++ b/src/process/leader.c
@@ -113,6 +113,7 @@
   l->hosts.count = 0;
   l->releases.count = 0;
   l->samples.count = 0;
+  cfs_ack_stops_clear (&l->ack_stops);
   l->assign_index = 0;
   l->grace_end = now + LEASE_WAIT_US;
   l->leader_since = now;
@@ -388,6 +389,7 @@
   free (l->packed_document.data.data);
   cfs_catalog_free (l->catalog);
   cfs_shares_end (&l->shares);
+  cfs_ack_stops_end (&l->ack_stops);
   free (l);
 }
 
@@ -424,6 +426,9 @@
   h = update_host (l, in, now);
   ensure_host_recorded (l, h, now);
   record_releases (l, in);
+  cfs_ack_stops_record (&l->ack_stops, in->host,
+                        (const Cfs__AckStop *const *)in->ack_stops,
+                        in->n_ack_stops);
   for (size_t i = 0; i < in->n_instances; i++)
     update_instance (l, in->instances[i], now);
   for (size_t i = 0; i < in->n_reports; i++)
@@ -525,6 +530,27 @@
   return count;
 }
 
+bool
+cfs_leader_acks_stopped (const struct cfs_leader *l, const char *service,
+                         uint64_t since_index, int64_t since, int64_t now,
+                         struct cfs_position *highest)
+{
+  bool stopped = now - l->leader_since >= ACK_LEASE_WAIT_US;
+
+  memset (highest, 0, sizeof *highest);
+  for (size_t i = 0; i < l->hosts.count; i++)
+    {
+      const struct cfs_host *h = cfs_table_at (&l->hosts, i);
+      int64_t leased_at = h->seen_at < since ? h->seen_at : since;
+
+      if (!cfs_ack_stops_find (&l->ack_stops, h->name, service, since_index,
+                               highest)
+          && now - leased_at < ACK_LEASE_WAIT_US)
+        stopped = false;
+    }
+  return stopped;
+}
+
 const struct cfs_catalog *
 cfs_leader_catalog (const struct cfs_leader *l)
 {
--- a/src/process/leader.h
+++ b/src/process/leader.h
@@ -225,6 +225,22 @@
                                           const char *target, int64_t now,
                                           size_t *hosts);
 
+/**
+ * cfs_leader_acks_stopped() - whether no host passes on acknowledgements of a
+ * service any more, because of a failover
+ * @since_index: log index of the failover record, which is still open
+ * @since: when this leader applied it; its replies contain it since then
+ * @highest: set to the highest position that an acknowledgement came with
+ * which a host passed on, as far as hosts have reported; term 0 if none has
+ *
+ * A host that has not reported counts once its lease has expired.  So do hosts
+ * that an earlier leader replied to and this one does not know.
+ */
+bool cfs_leader_acks_stopped (const struct cfs_leader *leader,
+                              const char *service, uint64_t since_index,
+                              int64_t since, int64_t now,
+                              struct cfs_position *highest);
+
 /**
  * cfs_leader_grant_tokens() - grants a host tokens beyond its shares
  *
--- a/src/process/leader_int.h
+++ b/src/process/leader_int.h
@@ -7,6 +7,7 @@
 
 #include "leader.h"
 
+#include "ack_lease.h"
 #include "shares.h"
 
 /* A resource that its holder of this epoch has released. */
@@ -95,6 +96,7 @@
  * this control host applied it, also before it was leader
  * @cold_rule: see cfs_leader_set_cold_rule()
  * @cold_tokens: tokens of cold targets granted
+ * @ack_stops: services of which hosts pass on no acknowledgements
  */
 struct cfs_leader
 {
@@ -125,6 +127,7 @@
   struct cfs_table evacuations;
   struct cfs_cold_rule cold_rule;
   uint64_t cold_tokens;
+  struct cfs_ack_stops ack_stops;
 };
 
 /** leader_propose() - appends a command to the replicated log; returns its
--- a/src/process/pending_reports.c
+++ b/src/process/pending_reports.c
@@ -54,7 +54,8 @@
     }
   g_clear_pointer (&p->state, free_message);
   p->state = report;
-  return pending_reports_hasty (p) || report->heartbeat->n_suspects;
+  return pending_reports_hasty (p) || report->heartbeat->n_suspects
+         || report->heartbeat->n_ack_stops;
 }
 
 bool
@@ -71,6 +72,12 @@
   return p->state ? p->state->heartbeat->n_suspects : 0;
 }
 
+size_t
+pending_reports_ack_stops (const struct pending_reports *p)
+{
+  return p->state ? p->state->heartbeat->n_ack_stops : 0;
+}
+
 static void
 fill_state (const struct pending_reports *p, Cfs__Heartbeat *h)
 {
@@ -85,6 +92,8 @@
   h->n_reports = s->n_reports;
   h->suspects = s->suspects;
   h->n_suspects = s->n_suspects;
+  h->ack_stops = s->ack_stops;
+  h->n_ack_stops = s->n_ack_stops;
 }
 
 /* Lists all instances that were announced since the last heartbeat. */
--- a/src/process/pending_reports.h
+++ b/src/process/pending_reports.h
@@ -43,6 +43,9 @@
 /** pending_reports_suspects() - number of targets that are unreachable */
 size_t pending_reports_suspects (const struct pending_reports *reports);
 
+/** pending_reports_ack_stops() - number of services with an open failover */
+size_t pending_reports_ack_stops (const struct pending_reports *reports);
+
 /**
  * pending_reports_fill() - adds the reports to a heartbeat
  *
--- a/src/process/wire.pb-c.c
+++ b/src/process/wire.pb-c.c
@@ -502,6 +502,51 @@
   assert(message->base.descriptor == &cfs__heartbeat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfs__ack_stop__init
+                     (Cfs__AckStop         *message)
+{
+  static const Cfs__AckStop init_value = CFS__ACK_STOP__INIT;
+  *message = init_value;
+}
+size_t cfs__ack_stop__get_packed_size
+                     (const Cfs__AckStop *message)
+{
+  assert(message->base.descriptor == &cfs__ack_stop__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfs__ack_stop__pack
+                     (const Cfs__AckStop *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfs__ack_stop__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfs__ack_stop__pack_to_buffer
+                     (const Cfs__AckStop *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfs__ack_stop__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfs__AckStop *
+       cfs__ack_stop__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfs__AckStop *)
+     protobuf_c_message_unpack (&cfs__ack_stop__descriptor,
+                                allocator, len, data);
+}
+void   cfs__ack_stop__free_unpacked
+                     (Cfs__AckStop *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfs__ack_stop__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfs__target__init
                      (Cfs__Target         *message)
 {
@@ -1717,6 +1762,51 @@
   assert(message->base.descriptor == &cfs__token_grant__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cfs__heartbeat_request__init
+                     (Cfs__HeartbeatRequest         *message)
+{
+  static const Cfs__HeartbeatRequest init_value = CFS__HEARTBEAT_REQUEST__INIT;
+  *message = init_value;
+}
+size_t cfs__heartbeat_request__get_packed_size
+                     (const Cfs__HeartbeatRequest *message)
+{
+  assert(message->base.descriptor == &cfs__heartbeat_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cfs__heartbeat_request__pack
+                     (const Cfs__HeartbeatRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cfs__heartbeat_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cfs__heartbeat_request__pack_to_buffer
+                     (const Cfs__HeartbeatRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cfs__heartbeat_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cfs__HeartbeatRequest *
+       cfs__heartbeat_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cfs__HeartbeatRequest *)
+     protobuf_c_message_unpack (&cfs__heartbeat_request__descriptor,
+                                allocator, len, data);
+}
+void   cfs__heartbeat_request__free_unpacked
+                     (Cfs__HeartbeatRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cfs__heartbeat_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cfs__deflated__init
                      (Cfs__Deflated         *message)
 {
@@ -2798,7 +2888,7 @@
   (ProtobufCMessageInit) cfs__release__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfs__heartbeat__field_descriptors[16] =
+static const ProtobufCFieldDescriptor cfs__heartbeat__field_descriptors[17] =
 {
   {
     "host",
@@ -2992,8 +3082,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ack_stops",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__Heartbeat, n_ack_stops),
+    offsetof(Cfs__Heartbeat, ack_stops),
+    &cfs__ack_stop__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfs__heartbeat__field_indices_by_name[] = {
+  16,   /* field[16] = ack_stops */
   2,   /* field[2] = address */
   4,   /* field[4] = boot */
   7,   /* field[7] = directory */
@@ -3014,7 +3117,7 @@
 static const ProtobufCIntRange cfs__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor cfs__heartbeat__descriptor =
 {
@@ -3024,13 +3127,90 @@
   "Cfs__Heartbeat",
   "cfs",
   sizeof(Cfs__Heartbeat),
-  16,
+  17,
   cfs__heartbeat__field_descriptors,
   cfs__heartbeat__field_indices_by_name,
   1,  cfs__heartbeat__number_ranges,
   (ProtobufCMessageInit) cfs__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cfs__ack_stop__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__AckStop, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changed",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__AckStop, changed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__AckStop, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__AckStop, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cfs__ack_stop__field_indices_by_name[] = {
+  1,   /* field[1] = changed */
+  3,   /* field[3] = number */
+  0,   /* field[0] = service */
+  2,   /* field[2] = term */
+};
+static const ProtobufCIntRange cfs__ack_stop__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cfs__ack_stop__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfs.AckStop",
+  "AckStop",
+  "Cfs__AckStop",
+  "cfs",
+  sizeof(Cfs__AckStop),
+  4,
+  cfs__ack_stop__field_descriptors,
+  cfs__ack_stop__field_indices_by_name,
+  1,  cfs__ack_stop__number_ranges,
+  (ProtobufCMessageInit) cfs__ack_stop__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cfs__target__field_descriptors[14] =
 {
   {
@@ -5799,6 +5979,24 @@
   (ProtobufCMessageInit) cfs__token_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+#define cfs__heartbeat_request__field_descriptors NULL
+#define cfs__heartbeat_request__field_indices_by_name NULL
+#define cfs__heartbeat_request__number_ranges NULL
+const ProtobufCMessageDescriptor cfs__heartbeat_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cfs.HeartbeatRequest",
+  "HeartbeatRequest",
+  "Cfs__HeartbeatRequest",
+  "cfs",
+  sizeof(Cfs__HeartbeatRequest),
+  0,
+  cfs__heartbeat_request__field_descriptors,
+  cfs__heartbeat_request__field_indices_by_name,
+  0,  cfs__heartbeat_request__number_ranges,
+  (ProtobufCMessageInit) cfs__heartbeat_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cfs__deflated__field_descriptors[2] =
 {
   {
@@ -5850,7 +6048,7 @@
   (ProtobufCMessageInit) cfs__deflated__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfs__peer__field_descriptors[13] =
+static const ProtobufCFieldDescriptor cfs__peer__field_descriptors[14] =
 {
   {
     "raft",
@@ -6008,6 +6206,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "heartbeat_request",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cfs__Peer, body_case),
+    offsetof(Cfs__Peer, heartbeat_request),
+    &cfs__heartbeat_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfs__peer__field_indices_by_name[] = {
   9,   /* field[9] = announce */
@@ -6019,6 +6229,7 @@
   5,   /* field[5] = execute */
   8,   /* field[8] = grant */
   1,   /* field[1] = heartbeat */
+  13,   /* field[13] = heartbeat_request */
   0,   /* field[0] = raft */
   2,   /* field[2] = reply */
   10,   /* field[10] = tokens_ask */
@@ -6027,7 +6238,7 @@
 static const ProtobufCIntRange cfs__peer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor cfs__peer__descriptor =
 {
@@ -6037,7 +6248,7 @@
   "Cfs__Peer",
   "cfs",
   sizeof(Cfs__Peer),
-  13,
+  14,
   cfs__peer__field_descriptors,
   cfs__peer__field_indices_by_name,
   1,  cfs__peer__number_ranges,
--- a/src/process/wire.pb-c.h
+++ b/src/process/wire.pb-c.h
@@ -26,6 +26,7 @@
 typedef struct Cfs__GroupReport Cfs__GroupReport;
 typedef struct Cfs__Release Cfs__Release;
 typedef struct Cfs__Heartbeat Cfs__Heartbeat;
+typedef struct Cfs__AckStop Cfs__AckStop;
 typedef struct Cfs__Target Cfs__Target;
 typedef struct Cfs__Turn Cfs__Turn;
 typedef struct Cfs__TeamTokens Cfs__TeamTokens;
@@ -53,6 +54,7 @@
 typedef struct Cfs__Answer Cfs__Answer;
 typedef struct Cfs__TokenAsk Cfs__TokenAsk;
 typedef struct Cfs__TokenGrant Cfs__TokenGrant;
+typedef struct Cfs__HeartbeatRequest Cfs__HeartbeatRequest;
 typedef struct Cfs__Deflated Cfs__Deflated;
 typedef struct Cfs__Peer Cfs__Peer;
 
@@ -264,6 +266,7 @@
  * what changed since.
  * suspects: targets that the host cannot reach.
  * idle_us: time since the host last admitted an operation, or since its start.
+ * ack_stops: services with an open failover that the host knows of.
  */
 struct  Cfs__Heartbeat
 {
@@ -289,10 +292,31 @@
   char **suspects;
   uint64_t members_hash;
   int64_t idle_us;
+  size_t n_ack_stops;
+  Cfs__AckStop **ack_stops;
 };
 #define CFS__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfs__heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL }
+
+
+/*
+ * A host that knows of an open failover passes no acknowledgement of the
+ * service on to callers.  changed: log index of the failover record that it
+ * knows.  term, number: highest log position that came with an acknowledgement
+ * which it passed on, 0 if none.
+ */
+struct  Cfs__AckStop
+{
+  ProtobufCMessage base;
+  char *service;
+  uint64_t changed;
+  uint64_t term;
+  uint64_t number;
+};
+#define CFS__ACK_STOP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfs__ack_stop__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -847,6 +871,19 @@
     , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * From the control leader to a host: a failover was opened or closed, so the
+ * next heartbeat is due at once.
+ */
+struct  Cfs__HeartbeatRequest
+{
+  ProtobufCMessage base;
+};
+#define CFS__HEARTBEAT_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cfs__heartbeat_request__descriptor) \
+     }
+
+
 /*
  * Compressed Peer message; size is its uncompressed length.
  */
@@ -875,7 +912,8 @@
   CFS__PEER__BODY_ANNOUNCE = 10,
   CFS__PEER__BODY_TOKENS_ASK = 11,
   CFS__PEER__BODY_TOKENS_GRANT = 12,
-  CFS__PEER__BODY_DEFLATED = 13
+  CFS__PEER__BODY_DEFLATED = 13,
+  CFS__PEER__BODY_HEARTBEAT_REQUEST = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CFS__PEER__BODY__CASE)
 } Cfs__Peer__BodyCase;
 
@@ -900,6 +938,7 @@
     Cfs__TokensAsk *tokens_ask;
     Cfs__TokensGrant *tokens_grant;
     Cfs__Deflated *deflated;
+    Cfs__HeartbeatRequest *heartbeat_request;
   };
 };
 #define CFS__PEER__INIT \
@@ -1116,6 +1155,25 @@
 void   cfs__heartbeat__free_unpacked
                      (Cfs__Heartbeat *message,
                       ProtobufCAllocator *allocator);
+/* Cfs__AckStop methods */
+void   cfs__ack_stop__init
+                     (Cfs__AckStop         *message);
+size_t cfs__ack_stop__get_packed_size
+                     (const Cfs__AckStop   *message);
+size_t cfs__ack_stop__pack
+                     (const Cfs__AckStop   *message,
+                      uint8_t             *out);
+size_t cfs__ack_stop__pack_to_buffer
+                     (const Cfs__AckStop   *message,
+                      ProtobufCBuffer     *buffer);
+Cfs__AckStop *
+       cfs__ack_stop__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfs__ack_stop__free_unpacked
+                     (Cfs__AckStop *message,
+                      ProtobufCAllocator *allocator);
 /* Cfs__Target methods */
 void   cfs__target__init
                      (Cfs__Target         *message);
@@ -1629,6 +1687,25 @@
 void   cfs__token_grant__free_unpacked
                      (Cfs__TokenGrant *message,
                       ProtobufCAllocator *allocator);
+/* Cfs__HeartbeatRequest methods */
+void   cfs__heartbeat_request__init
+                     (Cfs__HeartbeatRequest         *message);
+size_t cfs__heartbeat_request__get_packed_size
+                     (const Cfs__HeartbeatRequest   *message);
+size_t cfs__heartbeat_request__pack
+                     (const Cfs__HeartbeatRequest   *message,
+                      uint8_t             *out);
+size_t cfs__heartbeat_request__pack_to_buffer
+                     (const Cfs__HeartbeatRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Cfs__HeartbeatRequest *
+       cfs__heartbeat_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cfs__heartbeat_request__free_unpacked
+                     (Cfs__HeartbeatRequest *message,
+                      ProtobufCAllocator *allocator);
 /* Cfs__Deflated methods */
 void   cfs__deflated__init
                      (Cfs__Deflated         *message);
@@ -1702,6 +1779,9 @@
 typedef void (*Cfs__Heartbeat_Closure)
                  (const Cfs__Heartbeat *message,
                   void *closure_data);
+typedef void (*Cfs__AckStop_Closure)
+                 (const Cfs__AckStop *message,
+                  void *closure_data);
 typedef void (*Cfs__Target_Closure)
                  (const Cfs__Target *message,
                   void *closure_data);
@@ -1783,6 +1863,9 @@
 typedef void (*Cfs__TokenGrant_Closure)
                  (const Cfs__TokenGrant *message,
                   void *closure_data);
+typedef void (*Cfs__HeartbeatRequest_Closure)
+                 (const Cfs__HeartbeatRequest *message,
+                  void *closure_data);
 typedef void (*Cfs__Deflated_Closure)
                  (const Cfs__Deflated *message,
                   void *closure_data);
@@ -1806,6 +1889,7 @@
 extern const ProtobufCMessageDescriptor cfs__group_report__descriptor;
 extern const ProtobufCMessageDescriptor cfs__release__descriptor;
 extern const ProtobufCMessageDescriptor cfs__heartbeat__descriptor;
+extern const ProtobufCMessageDescriptor cfs__ack_stop__descriptor;
 extern const ProtobufCMessageDescriptor cfs__target__descriptor;
 extern const ProtobufCMessageDescriptor cfs__turn__descriptor;
 extern const ProtobufCMessageDescriptor cfs__team_tokens__descriptor;
@@ -1833,6 +1917,7 @@
 extern const ProtobufCMessageDescriptor cfs__answer__descriptor;
 extern const ProtobufCMessageDescriptor cfs__token_ask__descriptor;
 extern const ProtobufCMessageDescriptor cfs__token_grant__descriptor;
+extern const ProtobufCMessageDescriptor cfs__heartbeat_request__descriptor;
 extern const ProtobufCMessageDescriptor cfs__deflated__descriptor;
 extern const ProtobufCMessageDescriptor cfs__peer__descriptor;
 
--- a/tests/unit/placement_sessions.c
+++ b/tests/unit/placement_sessions.c
@@ -201,6 +201,7 @@
   world.adapter.open = conn_open;
   world.caller.ops = &caller_ops;
   cfs_fleet_init (&world.fleet, &world.settings, NULL);
+  world.fleet.lease_until = CFS_NEVER;
   cfs_quota_init (&world.quota, world.now);
   world.fleet.catalog = document_decode (document, NULL);
   assert_non_null (world.fleet.catalog);
--- a/tests/world/failover.c
+++ b/tests/world/failover.c
@@ -204,8 +204,8 @@
 }
 
 static const struct cfs_failover_ops ops
-    = { propose, request_promotion, check_position, record_proof,
-        suspecting_hosts };
+    = { propose,      request_promotion, check_position,
+        record_proof, suspecting_hosts,  wf_acks_stopped };
 
 static void
 become_primary (int i)
--- a/tests/world/failover_hosts.c
+++ b/tests/world/failover_hosts.c
@@ -6,6 +6,8 @@
  */
 #include "failover_int.h"
 
+#include "../../src/process/ack_lease.h"
+
 #include <string.h>
 
 #define HEARTBEAT_INTERVAL_US (300 * CFS_US_PER_MS)
@@ -13,11 +15,6 @@
 #define TRANSIT_MAX_MS 40
 #define SLOW_TRANSIT_MAX_MS 900
 #define ACK_DELAY_MAX_MS 20
-/* A host passes no acknowledgement on later than this after it sent the
-   heartbeat whose reply allowed it. */
-#define ACK_LEASE_US (2 * CFS_US_PER_S)
-/* The leader's clock may be faster than that of a host. */
-#define ACK_LEASE_EXPIRED_US (ACK_LEASE_US + ACK_LEASE_US / 20)
 
 static int64_t
 transit_us (void)
@@ -53,20 +50,15 @@
   return view;
 }
 
+/* Whether a host may pass an acknowledgement of an instance on to a caller, as
+   cfs_ack_lease_valid(). */
 static bool
-host_holds_lease (const struct host *h, int instance)
+host_may_acknowledge (const struct host *h, int instance)
 {
   return !h->view.open && h->view.presumed == instance
          && wf_world->now - h->view.sent_at < ACK_LEASE_US;
 }
 
-/* Whether a host may pass an acknowledgement of an instance on to a caller. */
-static bool
-host_may_acknowledge (const struct host *h, int instance)
-{
-  return !wf_world->acks_need_lease || host_holds_lease (h, instance);
-}
-
 static void
 send_heartbeat (struct host *h)
 {
@@ -234,7 +226,7 @@
       const struct host *h = &wf_world->hosts[i];
 
       if (!h->reported_at || h->reported.stopped_index < since_index)
-        stopped = stopped && wf_world->now - since > ACK_LEASE_EXPIRED_US;
+        stopped = stopped && wf_world->now - since > ACK_LEASE_WAIT_US;
       if (h->reported_at
           && cfs_position_compare (&h->reported.highest, highest) > 0)
         *highest = h->reported.highest;
--- a/tests/world/failover_int.h
+++ b/tests/world/failover_int.h
@@ -216,8 +216,6 @@
  * @allowed: the only instance whose region the routes allow
  * @hold_promotions: promotion requests get no result and wait for
  * wf_carry_out()
- * @acks_need_lease: hosts pass acknowledgements on only while they hold a
- * lease
  * @heartbeats: receives the heartbeats of the hosts
  * @leader_since: when the current control leader took over
  * @index: last log index of the replicated log
@@ -248,7 +246,6 @@
   struct proposal proposals[PROPOSALS_MAX];
   struct late_order orders[ORDERS_MAX];
   struct host hosts[HOSTS];
-  bool acks_need_lease;
   struct wf_heartbeat_ops heartbeats;
   int64_t leader_since;
   uint64_t index;
