A primary that started again is not taken for the one that led

Callers saw (in the model): an acknowledged commit missing at the promoted server.

Cause, class: an id is taken for the state that its former owner had. The log of the primary that is replaced counts as the end of all commits. The former primary was known by its id alone; one that starts again under its id knows nothing of before, answers with an empty log, and the failover went on with that.

Change: the log counts if the same incarnation has led, by its report or its replies to the leader.

--- a/src/process/failover.c
+++ b/src/process/failover.c
@@ -307,6 +307,20 @@
   close_failover (m, f, now);
 }
 
+/* The incarnation of an instance that is known to have led, by its report or
+   its replies, or 0. */
+static uint64_t
+leading_incarnation (const struct failover_state *f,
+                     const struct cfs_target *t)
+{
+  const struct probe *p = &f->primary_probe;
+  bool replied_as_primary = t && strcmp (p->target, t->id) == 0
+                            && p->incarnation == t->incarnation
+                            && p->position.term != 0;
+
+  return t && (t->claimed || replied_as_primary) ? t->incarnation : 0;
+}
+
 /* A primary that still replies is demoted before the replicas are paused. */
 static void
 begin_pausing (struct cfs_failover_manager *m, struct failover_state *f,
@@ -320,6 +334,8 @@
   else
     cfs_copy (f->former_primary, sizeof f->former_primary,
               primary ? primary->id : "");
+  f->former_incarnation = leading_incarnation (
+      f, cfs_table_find (&m->state->targets, f->former_primary));
   replies = f->primary_probe.connected && f->primary_probe.status_known
             && strcmp (f->primary_probe.target, f->former_primary) == 0
             && now - f->primary_probe.replied_at < PRIMARY_TIMEOUT_US;
--- a/src/process/failover_choice.c
+++ b/src/process/failover_choice.c
@@ -43,7 +43,8 @@
   const struct probe *former
       = *f->former_primary ? failover_find_probe (f, f->former_primary) : NULL;
 
-  return former && !f->promotion_sent && log_is_known (f, former, now);
+  return former && former->incarnation == f->former_incarnation
+         && !f->promotion_sent && log_is_known (f, former, now);
 }
 
 void
@@ -134,13 +135,15 @@
    back. */
 static struct cfs_position
 required_position (const struct failover_state *f,
-                   const struct probe_summary *summary, int64_t now)
+                   const struct probe_summary *summary, bool commits_known,
+                   int64_t now)
 {
+  int64_t acked_bound = commits_known ? ACKED_RETURN_US : PRIMARY_RETURN_US;
   struct cfs_position required = { 0, 0 };
 
   if (now - f->started_at < PRIMARY_RETURN_US && !all_others_left (summary))
     required = f->seen;
-  if (now - f->started_at < ACKED_RETURN_US)
+  if (now - f->started_at < acked_bound)
     raise_position (&required, &f->acked);
   for (size_t i = 0; i < f->probe_count; i++)
     {
@@ -192,8 +195,8 @@
                          const struct probe_summary *summary, int64_t now)
 {
   const struct probe *candidate = choose_candidate (m, f, now);
-  struct cfs_position required = required_position (f, summary, now);
   bool known = commits_are_known (f, summary, now);
+  struct cfs_position required = required_position (f, summary, known, now);
 
   if (!candidate || (!f->acks_stopped_at && !former_log_is_known (f, now)))
     return NULL;
--- a/src/process/failover_int.h
+++ b/src/process/failover_int.h
@@ -123,6 +123,8 @@
  * @max_term: highest term seen at any instance
  * @promotion_sent: a promotion request of this failover may be carried out
  * @former_primary: primary at the start of the current attempt
+ * @former_incarnation: the incarnation of it that is known to have led, or 0:
+ * one that was started since may have lost its log
  * @opened_index: log index of the first record of this failover that this
  * leader applied
  * @opened_at: when that was applied, 0 before
@@ -155,6 +157,7 @@
   uint64_t max_term;
   bool promotion_sent;
   char former_primary[CFS_NAME_MAX];
+  uint64_t former_incarnation;
   char replaced[CFS_NAME_MAX];
   uint64_t opened_index;
   int64_t opened_at;
--- a/tests/unit/failover_lost_commit.c
+++ b/tests/unit/failover_lost_commit.c
@@ -135,6 +135,28 @@
       seeds_failed_up_to (SEEDS, run_when_a_late_resume_ends_a_pause), 0);
 }
 
+/* A RESUME at the end of one failover is carried out in the next one. */
+static void
+a_replica_whose_pause_has_ended_is_paused_again (void **state)
+{
+  (void)state;
+  start (1);
+  wf_kill (0);
+  wait_for_pause (2);
+  wf_hold_orders (2, true);
+  wf_run (REQUEST_MAX_US);
+  assert_int_equal (wf_primary (), 1);
+  wf_hold_orders (2, false);
+  wf_cut_from_leader (1, true);
+  wait_for_pause (2);
+  wf_carry_out_orders (2);
+  wf_run (STEP_US);
+  assert_false (wf_paused (2));
+  wf_run (CFS_US_PER_S);
+  assert_true (wf_paused (2));
+  wf_end ();
+}
+
 static bool
 run_when_a_restart_ends_a_pause (uint64_t seed)
 {
@@ -255,6 +277,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (no_commit_is_lost_when_a_late_promotion_ends_a_pause),
     cmocka_unit_test (no_commit_is_lost_when_a_late_resume_ends_a_pause),
+    cmocka_unit_test (a_replica_whose_pause_has_ended_is_paused_again),
     cmocka_unit_test (no_commit_is_lost_when_a_restart_ends_a_pause),
     cmocka_unit_test (no_commit_is_lost_when_a_pause_has_no_effect),
     cmocka_unit_test (
