Failover model: terms and times as observed on the platform

It gave the newest term as that of the position, while the platform's position has the term of the last entry and only the row tells the newest one; a lower PAUSE replaced a higher one; a promotion took effect after 300 ms; an instance announced itself within 1.2 s in all cases; one that was cut off could announce that it leaves. A later violation also hid the first one.

Change: an instance has the term of its last entry beside the newest it knows; a row is the decoded state; a PAUSE has no effect unless its term is above that of an earlier one; a promotion takes effect after 140 to 540 ms; one in ten that start announces itself only within 3.3 s; one that is cut off does not leave. wf_violate() keeps the first violation. Beside that, two scripts of failover_lost_commit cut one replica off while the former primary is chosen, so that their start does not depend on which status is the newest.

--- a/tests/unit/failover_lost_commit.c
+++ b/tests/unit/failover_lost_commit.c
@@ -27,7 +27,7 @@
 /* Less than the time after which a request without a result is repeated. */
 #define IN_FLIGHT_US (300 * CFS_US_PER_MS)
 /* Time from the execution of a request to the change of primary. */
-#define PROMOTE_US (400 * CFS_US_PER_MS)
+#define PROMOTE_US (600 * CFS_US_PER_MS)
 
 static void
 start (uint64_t seed)
@@ -75,6 +75,7 @@
   start (seed);
   wf_cut_host (0, true);
   wf_hold_promotions (true);
+  wf_cut_from_leader (1, true);
   wf_cut_replication (0, true);
   wf_run (5 * STEP_US);
   wf_drain (0);
@@ -86,7 +87,6 @@
 run_when_a_late_promotion_ends_a_pause (uint64_t seed)
 {
   start_with_a_held_request_for_the_former_primary (seed);
-  wf_cut_from_leader (1, true);
   wf_cut_replication (0, false);
   wf_run (2 * CFS_US_PER_S);
   wf_carry_out (0);
@@ -200,6 +200,7 @@
   int candidate = 0;
 
   start_with_a_held_request_for_the_former_primary (seed);
+  wf_cut_from_leader (1, false);
   for (int64_t t = 0; t < REQUEST_MAX_US && candidate == 0; t += STEP_US)
     {
       wf_run (STEP_US);
--- a/tests/world/failover.c
+++ b/tests/world/failover.c
@@ -1,10 +1,11 @@
 /*
- * A promotion request either gets its result within 80 ms and takes effect 300
- * ms later, or gets no result and is carried out 2 to 10 s later, or when the
- * test says so.  In all cases it is rejected if the instance is stopped, or if
- * a request with a higher fencing token was carried out before.  Instances
- * report a change of their role to the replicated state.  Hosts write at the
- * instance that this state named as the primary at their last heartbeat.
+ * A promotion request either gets its result within 80 ms and takes effect
+ * some hundred ms later, or gets no result and is carried out 2 to 10 s later,
+ * or when the test says so.  In all cases it is rejected if the instance is
+ * stopped, or if a request with a higher fencing token was carried out before.
+ * Instances report a change of their role to the replicated state.  Hosts
+ * write at the instance that this state named as the primary at their last
+ * heartbeat.
  */
 #include "failover_int.h"
 
@@ -13,7 +14,9 @@
 #include <string.h>
 
 #define STEP_US (10 * CFS_US_PER_MS)
-#define PROMOTE_US (300 * CFS_US_PER_MS)
+/* Time from the result of a promotion request to its effect. */
+#define PROMOTE_MIN_US (140 * CFS_US_PER_MS)
+#define PROMOTE_MAX_US (540 * CFS_US_PER_MS)
 /* Time after which a promotion request without a result is given up. */
 #define PROMOTION_TIMEOUT_US (700 * CFS_US_PER_MS)
 #define FAULT_PHASE_US (25 * CFS_US_PER_S)
@@ -40,6 +43,13 @@
   return cfs_random (&wf_world->seed) % bound;
 }
 
+void
+wf_violate (const char *invariant)
+{
+  if (!wf_world->violation)
+    wf_world->violation = invariant;
+}
+
 static int
 primary_index (void)
 {
@@ -142,7 +152,7 @@
 {
   (void)ctx;
   if (strcmp (service, SERVICE) != 0)
-    wf_world->violation = "promotion requested for another service";
+    wf_violate ("promotion requested for another service");
   for (int i = 0; i < PROMOTIONS_MAX; i++)
     {
       struct promotion *p = &wf_world->promotions[i];
@@ -180,7 +190,7 @@
   (void)ctx;
   (void)service;
   if (position->number < wf_world->acked_at[step_index (requested_at)])
-    wf_world->violation = "a position lacks a commit acknowledged before";
+    wf_violate ("a position lacks a commit acknowledged before");
 }
 
 static void
@@ -216,8 +226,7 @@
   if (!in->alive)
     return;
   if (in->received < wf_world->acked_position)
-    wf_world->violation
-        = "an acknowledged commit is missing at the new primary";
+    wf_violate ("an acknowledged commit is missing at the new primary");
   if (old >= 0)
     wf_world->instances[old].primary = false;
   in->primary = true;
@@ -229,7 +238,10 @@
   for (int k = 0; k < INSTANCES; k++)
     {
       if (wf_world->instances[k].received > in->received)
-        wf_world->instances[k].received = in->received;
+        {
+          wf_world->instances[k].received = in->received;
+          wf_world->instances[k].log_term = in->log_term;
+        }
       wf_world->instances[k].paused_term = 0;
     }
   wf_world->acked_position = in->received < wf_world->acked_position
@@ -260,7 +272,9 @@
       if (primary_index () != (int)p->target)
         {
           wf_world->promoting = (int)p->target;
-          wf_world->promote_at = wf_world->now + PROMOTE_US;
+          wf_world->promote_at
+              = wf_world->now + PROMOTE_MIN_US
+                + (int64_t)wf_random_below (PROMOTE_MAX_US - PROMOTE_MIN_US);
         }
     }
   if (!p->result_reported)
@@ -297,7 +311,11 @@
   if (p < 0 || !wf_world->instances[p].alive)
     return;
   primary = &wf_world->instances[p];
-  primary->received += wf_hosts_use (primary);
+  if (wf_hosts_use (primary))
+    {
+      primary->received++;
+      primary->log_term = primary->term;
+    }
   for (int i = 0; i < INSTANCES; i++)
     {
       struct instance *in = &wf_world->instances[i];
@@ -308,6 +326,7 @@
         continue;
       in->received = primary->received;
       in->term = primary->term;
+      in->log_term = primary->log_term;
       primary->replicated = primary->received;
     }
 }
@@ -453,6 +472,7 @@
   in->primary = i == 0;
   in->reported_primary = in->primary;
   in->term = 1;
+  in->log_term = 1;
   in->incarnation = 1;
   t.id = in->name;
   t.service = (char *)SERVICE;
--- a/tests/world/failover_arrival.c
+++ b/tests/world/failover_arrival.c
@@ -11,8 +11,10 @@
 
 #define EXIT_DELAY_MAX_MS 500
 #define REPORT_INTERVAL_US (300 * CFS_US_PER_MS)
-/* An instance that starts announces itself within this time. */
+/* An instance that starts announces itself within this time, and if its first
+   reports are lost, within the other. */
 #define ANNOUNCE_MAX_MS 1200
+#define LATE_ANNOUNCE_MAX_MS 3300
 #define RECEIVE_DELAY_MAX_MS 600
 
 void
@@ -57,13 +59,14 @@
   return copied;
 }
 
+/* One that is cut off can't announce that it leaves. */
 void
 wf_start_departure (struct instance *in)
 {
   const struct cfs_target *known = entry_of (in);
   struct proposal *p;
 
-  if (!may_depart (in) || in->leaving || known->gone
+  if (!may_depart (in) || in->cut || in->leaving || known->gone
       || known->incarnation != in->incarnation)
     return;
   p = wf_append_record ();
@@ -78,14 +81,18 @@
 void
 wf_start_arrival (struct instance *in)
 {
+  uint64_t announce_max
+      = wf_random_below (10) ? ANNOUNCE_MAX_MS : LATE_ANNOUNCE_MAX_MS;
+
   in->exited = false;
   in->alive = true;
   in->paused_term = 0;
   in->term = 0;
+  in->log_term = 0;
   in->incarnation++;
   in->boot++;
   in->report_at = wf_world->now
-                  + (int64_t)wf_random_below (ANNOUNCE_MAX_MS) * CFS_US_PER_MS;
+                  + (int64_t)wf_random_below (announce_max) * CFS_US_PER_MS;
   in->receive_at
       = wf_world->now
         + (int64_t)wf_random_below (RECEIVE_DELAY_MAX_MS) * CFS_US_PER_MS;
--- a/tests/world/failover_conn.c
+++ b/tests/world/failover_conn.c
@@ -6,8 +6,6 @@
  */
 #include "failover_int.h"
 
-#include <inttypes.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -21,11 +19,13 @@
          || s->verb == VERB_DEMOTE;
 }
 
-/* A PAUSE whose term is not above the newest of the group has no effect. */
+/* A PAUSE whose term is not above the newest of the group has no effect, nor
+   does one whose term is not above that of an earlier one. */
 static void
 carry_out_order (struct instance *in, const struct cfs_statement *s)
 {
-  if (s->verb == VERB_PAUSE && s->term > wf_world->term && !in->primary)
+  if (s->verb == VERB_PAUSE && s->term > wf_world->term
+      && s->term > in->paused_term && !in->primary)
     in->paused_term = s->term;
   else if (s->verb == VERB_DEMOTE)
     in->primary = in->primary && s->term <= in->term;
@@ -33,6 +33,25 @@
     in->paused_term = 0;
 }
 
+static struct cfs_position
+log_end (const struct instance *in)
+{
+  return (struct cfs_position){ in->log_term, in->received };
+}
+
+/* The row of a status is the decoded state. */
+static void
+write_row (struct fake_conn *conn)
+{
+  const struct instance *in = conn->instance;
+  struct cfs_instance_state s = { .primary = in->primary,
+                                  .term = in->term,
+                                  .received = log_end (in),
+                                  .paused_term = in->paused_term };
+
+  memcpy (conn->row, &s, sizeof s);
+}
+
 static void
 run_statement (struct fake_conn *conn)
 {
@@ -51,11 +70,9 @@
     conn->state = TX_IDLE;
   else
     carry_out_order (in, &conn->statement);
-  snprintf (conn->row, sizeof conn->row, "%s %" PRIu64,
-            in->primary ? "primary" : "replica", in->paused_term);
+  write_row (conn);
   r->state = conn->state;
-  r->position.term = in->term;
-  r->position.number = in->received;
+  r->position = log_end (in);
   r->row_count = 1;
 }
 
@@ -64,11 +81,7 @@
 {
   if (reply->code != REPLY_OK)
     return false;
-  memset (out, 0, sizeof *out);
-  out->term = reply->position.term;
-  out->primary = strncmp (reply->rows, "primary", strlen ("primary")) == 0;
-  out->paused_term = strtoull (strchr (reply->rows, ' '), NULL, 10);
-  out->received = reply->position;
+  memcpy (out, reply->rows, sizeof *out);
   return true;
 }
 
@@ -108,7 +121,7 @@
   struct fake_conn *conn = (struct fake_conn *)base;
 
   if (count != 1)
-    wf_world->violation = "more than one statement sent at a time";
+    wf_violate ("more than one statement sent at a time");
   conn->statement = *s;
   if (delay_order (conn))
     return;
@@ -185,8 +198,7 @@
 
       if (conn->wrong_target)
         hello.code = REPLY_WRONG_TARGET;
-      hello.position.term = conn->instance->term;
-      hello.position.number = conn->instance->received;
+      hello.position = log_end (conn->instance);
       conn->open = true;
       conn->events->opened (conn->owner, &hello);
     }
--- a/tests/world/failover_hosts.c
+++ b/tests/world/failover_hosts.c
@@ -147,9 +147,8 @@
     return;
   if (cfs_position_compare (&h->ack, &h->highest) > 0)
     h->highest = h->ack;
-  if (h->ack_lost && !wf_world->violation)
-    wf_world->violation
-        = "a commit is acknowledged that the new primary lacks";
+  if (h->ack_lost)
+    wf_violate ("a commit is acknowledged that the new primary lacks");
   if (!h->ack_lost && h->ack.number > wf_world->acked_position)
     wf_world->acked_position = h->ack.number;
 }
@@ -170,7 +169,7 @@
   h->ack_pending = true;
   h->ack_lost = false;
   h->ack_instance = h->view.used;
-  h->ack.term = in->term;
+  h->ack.term = in->log_term;
   h->ack.number = in->replicated;
   h->ack_at = wf_world->now
               + (int64_t)wf_random_below (ACK_DELAY_MAX_MS) * CFS_US_PER_MS;
--- a/tests/world/failover_int.h
+++ b/tests/world/failover_int.h
@@ -34,6 +34,8 @@
  * @orders_held: orders to it get no reply and wait for wf_carry_out_orders()
  * @delay_us: additional time that a statement takes
  * @boot: number of restarts; a restart breaks all connections
+ * @term: newest term that it knows
+ * @log_term: term of the last entry in its log
  * @received: position up to which it has received the log
  * @led_from: position at which it became primary
  * @replicated: position up to which a replica has received its log since then
@@ -60,6 +62,7 @@
   int64_t delay_us;
   unsigned boot;
   uint64_t term;
+  uint64_t log_term;
   uint64_t received;
   uint64_t led_from;
   uint64_t replicated;
@@ -270,6 +273,9 @@
 /** wf_random_below() - random number from 0 to @bound - 1 */
 uint64_t wf_random_below (uint64_t bound);
 
+/** wf_violate() - records the first violated invariant */
+void wf_violate (const char *invariant);
+
 /** wf_find_instance() - the instance with a name, also with the name under
  * which the departure of an earlier incarnation of it is kept; NULL for one
  * that is not simulated: nothing listens at its address */
