Failing test: a primary that returns under its id without its log

Cause: PROTOCOL.md: an instance may start again under the id that it had, and then holds nothing of before. Its earlier log is gone without a departure, and the empty one counts as one of the logs that are known. If the only replica with a commit can't be reached, the other one is promoted without it.

--- a/tests/unit/failover_lost_commit.c
+++ b/tests/unit/failover_lost_commit.c
@@ -1,8 +1,8 @@
 /*
  * Ways in which a commit that a host has passed on as acknowledged can be
  * missing at the next primary: a replica that counts as paused receives the
- * log, or a former primary goes on while the promotion of another is on its
- * way.
+ * log, a former primary goes on while the promotion of another is on its way,
+ * or an instance counts with a log that it no longer has.
  */
 #include "../../src/process/log.h"
 #include "../world/failover.h"
@@ -26,6 +26,8 @@
 #define REQUEST_MAX_US (6 * CFS_US_PER_S)
 /* Less than the time after which a request without a result is repeated. */
 #define IN_FLIGHT_US (300 * CFS_US_PER_MS)
+/* A change of primary is over within this time. */
+#define FAILOVER_MAX_US (18 * CFS_US_PER_S)
 /* Time from the execution of a request to the change of primary. */
 #define PROMOTE_US (600 * CFS_US_PER_MS)
 
@@ -250,6 +252,28 @@
       seeds_failed_up_to (SEEDS, run_with_a_replica_that_is_not_known), 0);
 }
 
+static bool
+run_when_a_primary_returns_without_its_log (uint64_t seed)
+{
+  start (seed);
+  wf_cut_replication (2, true);
+  wf_run (10 * STEP_US);
+  wf_cut (1, true);
+  wf_change_leader ();
+  wf_restart_empty (0);
+  wf_run (FAILOVER_MAX_US);
+  return end (seed);
+}
+
+static void
+no_commit_is_lost_when_a_primary_returns_without_its_log (void **state)
+{
+  (void)state;
+  assert_int_equal (
+      seeds_failed_up_to (SEEDS, run_when_a_primary_returns_without_its_log),
+      0);
+}
+
 int
 main (void)
 {
@@ -260,7 +284,8 @@
     cmocka_unit_test (no_commit_is_lost_when_a_pause_has_no_effect),
     cmocka_unit_test (
         no_commit_is_lost_when_the_former_primary_is_promoted_late),
-    cmocka_unit_test (no_commit_is_lost_with_a_replica_that_is_not_known)
+    cmocka_unit_test (no_commit_is_lost_with_a_replica_that_is_not_known),
+    cmocka_unit_test (no_commit_is_lost_when_a_primary_returns_without_its_log)
   };
 
   cfs_log_open ("test", getenv ("TRACE") ? CFS_INFO : CFS_ERR);
--- a/tests/world/failover.h
+++ b/tests/world/failover.h
@@ -63,6 +63,10 @@
  * refused */
 void wf_exit (unsigned instance);
 
+/** wf_restart_empty() - ends an instance and starts it again under its id,
+ * without its log */
+void wf_restart_empty (unsigned instance);
+
 /** wf_drop() - records that an instance has stopped to report, as the control
  * leader does */
 void wf_drop (unsigned instance);
--- a/tests/world/failover_script.c
+++ b/tests/world/failover_script.c
@@ -17,6 +17,13 @@
   wf_exit_instance (&wf_world->instances[i]);
 }
 
+void
+wf_restart_empty (unsigned i)
+{
+  wf_exit_instance (&wf_world->instances[i]);
+  wf_start_arrival (&wf_world->instances[i]);
+}
+
 void
 wf_cut (unsigned i, bool cut)
 {
