--- a/tests/world/failover.c
+++ b/tests/world/failover.c
@@ -20,6 +20,8 @@
 /* Time after which a promotion request without a result is given up. */
 #define PROMOTION_TIMEOUT_US (700 * CFS_US_PER_MS)
 #define FAULT_PHASE_US (25 * CFS_US_PER_S)
+/* Time from the announcement of a leave to the end of the instance. */
+#define DEPARTURE_MAX_US CFS_US_PER_S
 /* Longer than an order or a promotion is late. */
 #define RECOVERY_US (16 * CFS_US_PER_S)
 
@@ -407,6 +409,8 @@
     }
 }
 
+/* Instances that have announced that they leave end after that, so it is
+   repeated. */
 static void
 heal (void)
 {
@@ -533,6 +537,8 @@
   wf_world->faults = true;
   wf_run (FAULT_PHASE_US);
   heal ();
+  wf_run (DEPARTURE_MAX_US);
+  heal ();
   wf_run (RECOVERY_US);
   before = wf_world->acked_position;
   wf_run (2 * CFS_US_PER_S);
