--- a/tests/unit/failover_lost_commit.c
+++ b/tests/unit/failover_lost_commit.c
@@ -1,8 +1,8 @@
 /*
  * Ways in which a commit that a host has passed on as acknowledged can be
  * missing at the next primary: a replica that counts as paused receives the
- * log, or a former primary goes on while the promotion of another is on its
- * way.
+ * log, a former primary goes on while the promotion of another is on its way,
+ * or an instance counts with a log that it no longer has.
  */
 #include "../../src/process/log.h"
 #include "../world/failover.h"
@@ -26,8 +26,10 @@
 #define REQUEST_MAX_US (6 * CFS_US_PER_S)
 /* Less than the time after which a request without a result is repeated. */
 #define IN_FLIGHT_US (300 * CFS_US_PER_MS)
+/* A change of primary is over within this time. */
+#define FAILOVER_MAX_US (18 * CFS_US_PER_S)
 /* Time from the execution of a request to the change of primary. */
-#define PROMOTE_US (400 * CFS_US_PER_MS)
+#define PROMOTE_US (600 * CFS_US_PER_MS)
 
 static void
 start (uint64_t seed)
@@ -75,6 +77,7 @@
   start (seed);
   wf_cut_host (0, true);
   wf_hold_promotions (true);
+  wf_cut_from_leader (1, true);
   wf_cut_replication (0, true);
   wf_run (5 * STEP_US);
   wf_drain (0);
@@ -86,7 +89,6 @@
 run_when_a_late_promotion_ends_a_pause (uint64_t seed)
 {
   start_with_a_held_request_for_the_former_primary (seed);
-  wf_cut_from_leader (1, true);
   wf_cut_replication (0, false);
   wf_run (2 * CFS_US_PER_S);
   wf_carry_out (0);
@@ -222,6 +224,7 @@
   int candidate = 0;
 
   start_with_a_held_request_for_the_former_primary (seed);
+  wf_cut_from_leader (1, false);
   for (int64_t t = 0; t < REQUEST_MAX_US && candidate == 0; t += STEP_US)
     {
       wf_run (STEP_US);
@@ -271,6 +274,28 @@
       seeds_failed_up_to (SEEDS, run_with_a_replica_that_is_not_known), 0);
 }
 
+static bool
+run_when_a_primary_returns_without_its_log (uint64_t seed)
+{
+  start (seed);
+  wf_cut_replication (2, true);
+  wf_run (10 * STEP_US);
+  wf_cut (1, true);
+  wf_change_leader ();
+  wf_restart_empty (0);
+  wf_run (FAILOVER_MAX_US);
+  return end (seed);
+}
+
+static void
+no_commit_is_lost_when_a_primary_returns_without_its_log (void **state)
+{
+  (void)state;
+  assert_int_equal (
+      seeds_failed_up_to (SEEDS, run_when_a_primary_returns_without_its_log),
+      0);
+}
+
 int
 main (void)
 {
@@ -282,7 +307,8 @@
     cmocka_unit_test (no_commit_is_lost_when_a_pause_has_no_effect),
     cmocka_unit_test (
         no_commit_is_lost_when_the_former_primary_is_promoted_late),
-    cmocka_unit_test (no_commit_is_lost_with_a_replica_that_is_not_known)
+    cmocka_unit_test (no_commit_is_lost_with_a_replica_that_is_not_known),
+    cmocka_unit_test (no_commit_is_lost_when_a_primary_returns_without_its_log)
   };
 
   cfs_log_open ("test", getenv ("TRACE") ? CFS_INFO : CFS_ERR);
