A primary that returns under its id as a replica counts as departed

Cause: the log of a primary that starts again under its id was taken to be the one that it had ("One that did not leave came back with its log"). One that has its log comes back as the primary; one that is a replica may have nothing, and the proof by counting went on with two of three.

Change: its earlier incarnation departs under a name of its own, and counts until its commits are shown elsewhere.

A replica that returns under its id without its log is still taken for what it was.

--- a/src/process/targets.c
+++ b/src/process/targets.c
@@ -222,19 +222,25 @@
 /* The entry of a later incarnation must not hide a departure that is not
    proven, so that one goes on under a name of its own.  No target answers to
    that, which shows that the incarnation has ended.  One that did not leave
-   came back with its log. */
+   came back with its log; but a primary does so as the primary. */
 static void
-keep_departure (struct cfs_table *targets, const struct cfs_target *t)
+keep_departure (struct cfs_table *targets, const struct cfs_target *t,
+                const Cfs__Target *in, uint64_t index)
 {
+  bool lost_primary = !t->gone && t->claimed && !in->primary;
   struct cfs_target departed = *t;
   struct cfs_target *kept;
   char suffix[INCARNATION_DIGITS + 2];
   int length = snprintf (suffix, sizeof suffix, "~%" PRIu64, t->incarnation);
 
-  if (!cfs_target_has_left (t) || !cfs_target_is_unproven (t))
+  if (!lost_primary
+      && (!cfs_target_has_left (t) || !cfs_target_is_unproven (t)))
     return;
   snprintf (departed.id, sizeof departed.id, "%.*s%s",
             CFS_NAME_MAX - 1 - length, t->id, suffix);
+  if (!departed.gone)
+    departed.changed = index;
+  departed.gone = true;
   kept = cfs_table_add (targets, departed.id);
   *kept = departed;
 }
@@ -257,7 +263,7 @@
             && (!t || t->gone || t->incarnation != in->born
                 || strcmp (t->address, in->address) != 0);
   if (t && in->born > t->incarnation)
-    keep_departure (targets, t);
+    keep_departure (targets, t, in, index);
   t = cfs_table_add (targets, in->id);
   if (in->primary)
     claimed = t->primary && t->incarnation == in->born ? t->claimed : index;
