A leader that hears no host requests no promotion without a demotion

Cause: leases that have expired tell that nothing is acknowledged any more, but not what was. A leader that no host reaches learns nothing of that, and hosts would not learn of the new primary either.

Change: at least one host must have been heard since the failover was opened.

--- a/src/process/leader.c
+++ b/src/process/leader.c
@@ -536,6 +536,7 @@
                          struct cfs_position *highest)
 {
   bool stopped = now - l->leader_since >= ACK_LEASE_WAIT_US;
+  bool heard = false;
 
   memset (highest, 0, sizeof *highest);
   for (size_t i = 0; i < l->hosts.count; i++)
@@ -543,12 +544,13 @@
       const struct cfs_host *h = cfs_table_at (&l->hosts, i);
       int64_t leased_at = h->seen_at < since ? h->seen_at : since;
 
+      heard = heard || h->seen_at >= since;
       if (!cfs_ack_stops_find (&l->ack_stops, h->name, service, since_index,
                                highest)
           && now - leased_at < ACK_LEASE_WAIT_US)
         stopped = false;
     }
-  return stopped;
+  return stopped && heard;
 }
 
 const struct cfs_catalog *
--- a/src/process/leader.h
+++ b/src/process/leader.h
@@ -234,7 +234,8 @@
  * which a host passed on, as far as hosts have reported; term 0 if none has
  *
  * A host that has not reported counts once its lease has expired.  So do hosts
- * that an earlier leader replied to and this one does not know.
+ * that an earlier leader replied to and this one does not know.  A leader that
+ * no host has reached since cannot know what was acknowledged.
  */
 bool cfs_leader_acks_stopped (const struct cfs_leader *leader,
                               const char *service, uint64_t since_index,
--- a/tests/unit/ack_lease.c
+++ b/tests/unit/ack_lease.c
@@ -147,6 +147,23 @@
   assert_true (acks_stopped (since, &highest));
 }
 
+static void
+no_promotion_while_no_host_is_heard (void **state)
+{
+  struct cfs_position highest;
+  int64_t since;
+
+  (void)state;
+  pass (10 * CFS_US_PER_S);
+  heartbeat ("h1", 0, 0);
+  pass (TICK_US);
+  since = now;
+  pass (2 * ACK_LEASE_WAIT_US);
+  assert_false (acks_stopped (since, &highest));
+  heartbeat ("h1", 0, 0);
+  assert_true (acks_stopped (since, &highest));
+}
+
 static void
 a_host_reports_what_it_passed_on_while_a_failover_is_open (void **state)
 {
@@ -262,6 +279,8 @@
     cmocka_unit_test_setup_teardown (
         a_new_leader_waits_for_leases_of_the_earlier_one, start_leader,
         end_leader),
+    cmocka_unit_test_setup_teardown (no_promotion_while_no_host_is_heard,
+                                     start_leader, end_leader),
     cmocka_unit_test (
         a_host_reports_what_it_passed_on_while_a_failover_is_open),
     cmocka_unit_test (no_commit_is_acknowledged_while_a_failover_is_open),
--- a/tests/world/failover_hosts.c
+++ b/tests/world/failover_hosts.c
@@ -214,6 +214,8 @@
                  int64_t since, struct cfs_position *highest)
 {
   bool stopped = true;
+  bool heard = false;
+  int64_t opened_at = since;
 
   (void)ctx;
   (void)service;
@@ -224,11 +226,12 @@
     {
       const struct host *h = &wf_world->hosts[i];
 
+      heard = heard || h->reported_at >= opened_at;
       if (!h->reported_at || h->reported.stopped_index < since_index)
         stopped = stopped && wf_world->now - since > ACK_LEASE_WAIT_US;
       if (h->reported_at
           && cfs_position_compare (&h->reported.highest, highest) > 0)
         *highest = h->reported.highest;
     }
-  return stopped;
+  return stopped && heard;
 }
