--- a/tests/world/failover_int.h
+++ b/tests/world/failover_int.h
@@ -10,6 +10,8 @@
 #define INSTANCES 3
 #define HOSTS 3
 #define SERVICE "db"
+/* Entries that a primary sent before its demotion arrive within this time. */
+#define DEMOTED_DRAIN_US (60 * CFS_US_PER_MS)
 /* Steps for which the acknowledged position is kept. */
 #define HISTORY_STEPS 1024
 #define PROMOTIONS_MAX 64
@@ -219,6 +221,8 @@
  * @allowed: the only instance whose region the routes allow
  * @hold_promotions: promotion requests get no result and wait for
  * wf_carry_out()
+ * @demoted: primary that was demoted last, at @demoted_at; what it sent before
+ * arrives some time later
  * @heartbeats: receives the heartbeats of the hosts
  * @leader_since: when the current control leader took over
  * @index: last log index of the replicated log
@@ -240,6 +244,8 @@
   bool faults;
   unsigned allowed;
   bool hold_promotions;
+  struct instance *demoted;
+  int64_t demoted_at;
   struct cfs_state state;
   struct cfs_target_adapter adapter;
   struct cfs_failover_manager *failover;
