Replies that no statement waits for are logged and counted

Change: a warning with target, team, use and state of the connection, and the counter coltsfootstage_replies_unexpected_total by target with the reason idle or in_use. No decision changes.

Measured: unit tests pool, pool_capacity, pool_load and session_random pass.

--- a/src/connection/pool.c
+++ b/src/connection/pool.c
@@ -155,12 +155,28 @@
     cfs_pool_close_conn (c);
 }
 
+/* Records a reply that arrives while no statement waits for one. */
+static void
+note_unexpected (const struct cfs_pooled_conn *c, const struct cfs_reply *r)
+{
+  struct target_state *s = state_of (c);
+
+  s->unexpected[c->user ? CONN_IN_USE : CONN_IDLE]++;
+  cfs_log (CFS_WARNING, PART,
+           "target=%s team=%s in_use=%d state=%d unexpected reply code=%s "
+           "reply_state=%d",
+           c->target, c->team, c->user != NULL, c->state,
+           cfs_reply_name (r->code), r->state);
+}
+
 static void
 on_replied (void *owner, const struct cfs_reply *r)
 {
   struct cfs_pooled_conn *c = owner;
   struct target_state *s = state_of (c);
 
+  if (c->pending == 0)
+    note_unexpected (c, r);
   if (c->pending)
     {
       c->pending--;
--- a/src/connection/pool_int.h
+++ b/src/connection/pool_int.h
@@ -22,6 +22,14 @@
   int64_t timeout_us;
 };
 
+/** enum conn_use - whether a connection has a user; labels of a metric */
+enum conn_use
+{
+  CONN_IDLE,
+  CONN_IN_USE,
+  CONN_USES
+};
+
 /**
  * struct target_state - this host's view of one instance
  * @id: name of the target
@@ -54,6 +62,7 @@
  * @opened: connections established
  * @refused: connections refused
  * @lost: connection failures
+ * @unexpected: replies that no statement waited for
  */
 struct target_state
 {
@@ -85,6 +94,7 @@
   uint64_t opened;
   uint64_t refused;
   uint64_t lost;
+  uint64_t unexpected[CONN_USES];
 };
 
 struct cfs_pool
--- a/src/connection/pool_target.c
+++ b/src/connection/pool_target.c
@@ -539,9 +539,14 @@
           "coltsfootstage_links_refused_total{target=\"%s\"} "
           "%" G_GUINT64_FORMAT "\n"
           "coltsfootstage_links_lost_total{target=\"%s\"} %" G_GUINT64_FORMAT
-          "\n",
+          "\n"
+          "coltsfootstage_replies_unexpected_total{target=\"%s\","
+          "reason=\"idle\"} %" G_GUINT64_FORMAT "\n"
+          "coltsfootstage_replies_unexpected_total{target=\"%s\","
+          "reason=\"in_use\"} %" G_GUINT64_FORMAT "\n",
           s->id, s->conn_count, s->id, s->opened, s->id, s->refused, s->id,
-          s->lost);
+          s->lost, s->id, s->unexpected[CONN_IDLE], s->id,
+          s->unexpected[CONN_IN_USE]);
       if (learns_capacity (p))
         capacity_metrics (s, p->clock (), out);
     }
