A transaction whose connection was closed is not continued on another

Callers saw: a transaction that was interrupted between two statements by a second reply went on, its COMMIT was acknowledged with a proof, and what it had written before was missing.

Cause: on an unexpected reply on_replied() closed the connection, which rolls back, but left the session in its transaction. The next statement began another one on a new connection; a COMMIT committed that one.

Change: the connection counts as lost, so the transaction has failed.

Measured: a_transaction_is_not_continued_on_another_connection (tests/unit/replies_twice) failed before (a new connection was opened for the COMMIT) and passes; the other eight cases of the test fail as before.

--- a/src/connection/session_run.c
+++ b/src/connection/session_run.c
@@ -520,6 +520,26 @@
     handle_single_error (s, r, now);
 }
 
+static void
+on_lost (void *user, const char *reason)
+{
+  struct cfs_session *s = user;
+  int64_t now = session_now (s);
+  bool sent = s->op.phase == OP_RUN;
+
+  add_tried (&s->op, s->op.target);
+  s->conn = NULL;
+  s->tx_on_conn = false;
+  if (s->op.phase == OP_NONE)
+    s->state = TX_FAILED;
+  else if (s->state == TX_OPEN && (s->tx_answered || s->tx_wrote))
+    session_fail_statement (s, REPLY_UNKNOWN, reason, now);
+  else if (!sent || (!s->op.writes && s->op.attempts < s->route.max_attempts))
+    retry (s, REPLY_UNKNOWN, 0, now);
+  else
+    session_fail_statement (s, REPLY_FAILED, reason, now);
+}
+
 static void
 on_replied (void *user, const struct cfs_reply *r)
 {
@@ -534,8 +554,7 @@
                "target=%s unexpected reply, closing the connection",
                cfs_pooled_conn_target (s->conn));
       cfs_pool_close_conn (s->conn);
-      s->conn = NULL;
-      s->tx_on_conn = false;
+      on_lost (s, "unexpected reply");
     }
   else if (r->code == REPLY_OK)
     handle_success (s, r, now);
@@ -543,25 +562,5 @@
     handle_error (s, r, now);
 }
 
-static void
-on_lost (void *user, const char *reason)
-{
-  struct cfs_session *s = user;
-  int64_t now = session_now (s);
-  bool sent = s->op.phase == OP_RUN;
-
-  add_tried (&s->op, s->op.target);
-  s->conn = NULL;
-  s->tx_on_conn = false;
-  if (s->op.phase == OP_NONE)
-    s->state = TX_FAILED;
-  else if (s->state == TX_OPEN && (s->tx_answered || s->tx_wrote))
-    session_fail_statement (s, REPLY_UNKNOWN, reason, now);
-  else if (!sent || (!s->op.writes && s->op.attempts < s->route.max_attempts))
-    retry (s, REPLY_UNKNOWN, 0, now);
-  else
-    session_fail_statement (s, REPLY_FAILED, reason, now);
-}
-
 static const struct cfs_pooled_conn_events conn_events
     = { on_opened, on_replied, on_lost };
