Replies are compared with the statements of their connection

Cause: replies carry no id and were matched to statements by order alone. A late second reply counted as that of the next statement on the connection, and every later reply was shifted by one.

The pool does not count that as a failure of the instance.

Replaced: the case of the STATUS row before the reply to a PAUSE expected that the row is refused. The case now expects that the row doesn't show the pause, and that the connection is lost when the own reply comes; it fails on the code before, too.

--- a/src/connection/adapter.c
+++ b/src/connection/adapter.c
@@ -1,6 +1,8 @@
 /* Position comparison and names of codes, shared by all adapters. */
 #include "adapter.h"
 
+const char cfs_out_of_step[] = "a reply does not match its statement";
+
 static const char *const reply_names[REPLY_CODES]
     = { "ok",           "busy",          "behind",     "not_primary",
         "wrong_target", "no_connection", "unprepared", "aborted",
--- a/src/connection/adapter.h
+++ b/src/connection/adapter.h
@@ -182,6 +182,10 @@
   const struct cfs_caller_ops *ops;
 };
 
+/** cfs_out_of_step - reason for which a connection is lost whose replies do
+ * not match its statements; compared by address */
+extern const char cfs_out_of_step[];
+
 struct cfs_target_conn;
 
 /**
--- a/src/connection/pool.c
+++ b/src/connection/pool.c
@@ -155,28 +155,12 @@
     cfs_pool_close_conn (c);
 }
 
-/* Records a reply that arrives while no statement waits for one. */
-static void
-note_unexpected (const struct cfs_pooled_conn *c, const struct cfs_reply *r)
-{
-  struct target_state *s = state_of (c);
-
-  s->unexpected[c->user ? CONN_IN_USE : CONN_IDLE]++;
-  cfs_log (CFS_WARNING, PART,
-           "target=%s team=%s in_use=%d state=%d unexpected reply code=%s "
-           "reply_state=%d",
-           c->target, c->team, c->user != NULL, c->state,
-           cfs_reply_name (r->code), r->state);
-}
-
 static void
 on_replied (void *owner, const struct cfs_reply *r)
 {
   struct cfs_pooled_conn *c = owner;
   struct target_state *s = state_of (c);
 
-  if (c->pending == 0)
-    note_unexpected (c, r);
   if (c->pending)
     {
       c->pending--;
@@ -192,6 +176,21 @@
     drain_released (c, cfs_pool_now (c->pool));
 }
 
+/* The instance is alive, so this is no failure of it. */
+static void
+note_out_of_step (const struct cfs_pooled_conn *c)
+{
+  struct target_state *s = state_of (c);
+
+  s->out_of_step[c->user ? CONN_IN_USE : CONN_IDLE]++;
+  target_note_reply (s, cfs_pool_now (c->pool));
+  cfs_log (CFS_WARNING, PART,
+           "target=%s team=%s in_use=%d pending=%u state=%d connection lost: "
+           "%s",
+           c->target, c->team, c->user != NULL, c->pending, c->state,
+           cfs_out_of_step);
+}
+
 static void
 on_lost (void *owner, const char *reason)
 {
@@ -200,7 +199,9 @@
   void *user = c->user;
   bool idle = c->established && !user && c->pending == 0;
 
-  if (!idle)
+  if (reason == cfs_out_of_step)
+    note_out_of_step (c);
+  else if (!idle)
     {
       target_note_failure (state_of (c), cfs_pool_now (c->pool));
       if (c->pending)
--- a/src/connection/pool_int.h
+++ b/src/connection/pool_int.h
@@ -62,7 +62,7 @@
  * @opened: connections established
  * @refused: connections refused
  * @lost: connection failures
- * @unexpected: replies that no statement waited for
+ * @out_of_step: connections lost because a reply did not match
  */
 struct target_state
 {
@@ -94,7 +94,7 @@
   uint64_t opened;
   uint64_t refused;
   uint64_t lost;
-  uint64_t unexpected[CONN_USES];
+  uint64_t out_of_step[CONN_USES];
 };
 
 struct cfs_pool
--- a/src/connection/pool_target.c
+++ b/src/connection/pool_target.c
@@ -545,8 +545,8 @@
           "coltsfootstage_replies_unexpected_total{target=\"%s\","
           "reason=\"in_use\"} %" G_GUINT64_FORMAT "\n",
           s->id, s->conn_count, s->id, s->opened, s->id, s->refused, s->id,
-          s->lost, s->id, s->unexpected[CONN_IDLE], s->id,
-          s->unexpected[CONN_IN_USE]);
+          s->lost, s->id, s->out_of_step[CONN_IDLE], s->id,
+          s->out_of_step[CONN_IN_USE]);
       if (learns_capacity (p))
         capacity_metrics (s, p->clock (), out);
     }
--- a/tests/unit/replies_twice.c
+++ b/tests/unit/replies_twice.c
@@ -390,14 +390,24 @@
 struct probe
 {
   unsigned replies;
+  struct cfs_instance_state status;
   bool lost;
 };
 
 static void
-probe_replied (void *owner, const struct cfs_reply *r)
+probe_opened (void *owner, const struct cfs_reply *r)
 {
+  (void)owner;
   (void)r;
-  ((struct probe *)owner)->replies++;
+}
+
+static void
+probe_replied (void *owner, const struct cfs_reply *r)
+{
+  struct probe *p = owner;
+
+  assert_true (world.adapter->read_status (r, &p->status));
+  p->replies++;
 }
 
 static void
@@ -408,13 +418,13 @@
 }
 
 static void
-a_second_status_is_not_the_reply_to_a_pause (void **state)
+a_second_status_does_not_show_a_pause (void **state)
 {
   static const struct cfs_target_conn_events events
-      = { probe_replied, probe_replied, probe_lost, NULL };
+      = { probe_opened, probe_replied, probe_lost, NULL };
   const struct cfs_statement status = { .verb = VERB_STATUS };
   const struct cfs_statement pause = { .verb = VERB_PAUSE, .term = 4 };
-  struct probe probe = { 0, false };
+  struct probe probe = { 0 };
   struct cfs_target_conn_setup setup = { .address = world.address,
                                          .service = "db",
                                          .team = "control",
@@ -436,6 +446,10 @@
   answer (peer,
           "ROW replica 3 3.12 0 5 1 9\r\nCOMPLETE -\r\nREADY I 3.12\r\n");
   settle ();
+  assert_int_equal (probe.status.paused_term, 0);
+  answer (peer,
+          "ROW replica 3 3.13 4 5 1 9\r\nCOMPLETE -\r\nREADY I 3.13\r\n");
+  settle ();
   if (!probe.lost)
     conn->ops->close (conn);
   assert_int_equal (probe.replies, 2);
@@ -562,7 +576,7 @@
     TEST (a_write_is_not_sent_after_the_late_reply_to_an_earlier_begin),
     TEST (a_second_error_is_not_the_result_of_another_write),
     TEST (a_second_error_does_not_repeat_a_write_of_a_transaction),
-    TEST (a_second_status_is_not_the_reply_to_a_pause),
+    TEST (a_second_status_does_not_show_a_pause),
   };
 
   apr_initialize ();
