A write is not called rolled back if its transaction may not have begun

Callers could be told that nothing of a transaction is kept although its write was committed.

Cause: the reply to a BEGIN has no proof. If it is a late second one to an earlier BEGIN on the connection and the own BEGIN was refused, the write runs on its own. When the connection was then found out of step, the session said that the transaction was rolled back.

Change: the result of a write is unknown if its connection is out of step and nothing but the reply to BEGIN shows that the transaction has begun. The session is outside a transaction then, so a COMMIT is not answered with a promise.

--- a/src/connection/session_run.c
+++ b/src/connection/session_run.c
@@ -520,6 +520,15 @@
     handle_single_error (s, r, now);
 }
 
+/* Whether the only sign that the transaction of a write has begun is the reply
+   to its BEGIN, which has no proof and may be that to an earlier one. */
+static bool
+begin_unconfirmed (const struct cfs_session *s)
+{
+  return s->state == TX_OPEN && s->op.phase == OP_RUN && s->tx_wrote
+         && !s->tx_answered;
+}
+
 static void
 on_lost (void *user, const char *reason)
 {
@@ -532,6 +541,11 @@
   s->tx_on_conn = false;
   if (s->op.phase == OP_NONE)
     s->state = TX_FAILED;
+  else if (reason == cfs_out_of_step && begin_unconfirmed (s))
+    {
+      s->state = TX_IDLE;
+      session_reply (s, REPLY_UNKNOWN, reason);
+    }
   else if (s->state == TX_OPEN && (s->tx_answered || s->tx_wrote))
     session_fail_statement (s, REPLY_UNKNOWN, reason, now);
   else if (!sent || (!s->op.writes && s->op.attempts < s->route.max_attempts))
