A reply is passed on before its connection is closed

Cause: the pool closed a released connection that was left in a transaction at once. The session releases before it passes the reply on, whose rows and proof stand in the buffer of the connection: callers could get freed memory. Only a reply with the wrong state led there, such as that to another statement.

Change: such a connection is not reused and closed by the next tick.

--- a/src/connection/pool.c
+++ b/src/connection/pool.c
@@ -142,19 +142,6 @@
     events->opened (user, r);
 }
 
-/* Called for a released connection and for each reply that arrives after its
-   release.  Once none is outstanding, the connection must be outside a
-   transaction to stay in the pool. */
-static void
-drain_released (struct cfs_pooled_conn *c, int64_t now)
-{
-  c->changed_at = now;
-  if (c->pending)
-    return;
-  if (c->state != TX_IDLE)
-    cfs_pool_close_conn (c);
-}
-
 static void
 on_replied (void *owner, const struct cfs_reply *r)
 {
@@ -173,7 +160,7 @@
   if (c->user)
     c->events->replied (c->user, r);
   else
-    drain_released (c, cfs_pool_now (c->pool));
+    c->changed_at = cfs_pool_now (c->pool);
 }
 
 /* The instance is alive, so this is no failure of it. */
@@ -265,8 +252,9 @@
 }
 
 /* Whether a connection without a user is to be closed: it was not established
-   or drained in time, its target is gone or draining, or it was idle for too
-   long. */
+   or drained in time, it is left in a transaction, its target is gone or
+   draining, or it was idle for too long.  It is not closed when it is released
+   or drained, as the reply that is handled may stand in its buffer. */
 static bool
 is_expired (const struct cfs_pool *p, const struct target_state *s,
             const struct cfs_pooled_conn *c, int64_t now)
@@ -280,6 +268,8 @@
     return age > OPEN_TIMEOUT_US;
   if (c->pending)
     return age > DRAIN_TIMEOUT_US;
+  if (c->state != TX_IDLE)
+    return true;
   if (!t || t->draining)
     return true;
   return target_at_conn_limit (s, now) ? age > IDLE_TIMEOUT_LIMITED_US
@@ -448,7 +438,7 @@
   target_note_release (s, now);
   if (t)
     s->idle = target_idle_limit (p, s, t->service);
-  drain_released (c, now);
+  c->changed_at = now;
 }
 
 const char *
--- a/tests/unit/session_lost.c
+++ b/tests/unit/session_lost.c
@@ -183,6 +183,18 @@
   assert_int_equal (world.code, REPLY_ABORTED);
 }
 
+static void
+a_reply_is_passed_on_before_its_connection_is_closed (void **state)
+{
+  (void)state;
+  ask (VERB_WRITE);
+  reply ("p1", TX_OPEN);
+  assert_int_equal (world.code, REPLY_OK);
+  assert_false (world.closed_early);
+  cfs_pool_tick (world.pool, world_clock ());
+  assert_null (world.conn);
+}
+
 static struct cfs_catalog *
 make_catalog (void)
 {
@@ -260,6 +272,7 @@
     TEST (
         a_write_is_not_called_rolled_back_if_its_transaction_may_not_have_begun),
     TEST (a_write_of_a_transaction_is_rolled_back_with_its_connection),
+    TEST (a_reply_is_passed_on_before_its_connection_is_closed),
   };
 
   cfs_log_open ("test", CFS_ERR);
