A commit refused for overload leaves its transaction

Cause: error_fits() of reply_check took any state after an error to COMMIT. The late second BUSY of an earlier user's single statement, with the state idle, then counted as the result of a commit that ran: the caller was told aborted.

Change: a COMMIT that was refused for overload did not run, so it leaves a transaction; otherwise the connection is out of step and the result unknown. That instances do so is our reading of the protocol, not measured.

Measured: unit/reply_check has the case; it failed before.

--- a/src/connection/reply_check.c
+++ b/src/connection/reply_check.c
@@ -66,12 +66,17 @@
   return before != TX_FAILED && r->state == before;
 }
 
+/* A commit that was not run because of overload leaves its transaction. */
 static bool
 error_fits (enum cfs_verb verb, enum cfs_tx_state before,
-            enum cfs_tx_state after)
+            const struct cfs_reply *r)
 {
+  enum cfs_tx_state after = r->state;
+
   if (before == TX_IDLE)
     return after == TX_IDLE;
+  if (verb == VERB_COMMIT && r->code == REPLY_BUSY)
+    return after != TX_IDLE;
   if (ends (verb))
     return true;
   return after == TX_FAILED || after == before;
@@ -120,7 +125,7 @@
   if (repeats_proof (c, r->proof))
     return REPLY_REPEATED;
   if (r->code == REPLY_OK ? !success_fits (verb, c->state, r)
-                          : !error_fits (verb, c->state, r->state))
+                          : !error_fits (verb, c->state, r))
     return REPLY_MISFIT;
   return is_outdated (c, verb, r) ? REPLY_OUTDATED : REPLY_MATCHES;
 }
--- a/tests/unit/reply_check.c
+++ b/tests/unit/reply_check.c
@@ -85,10 +85,12 @@
   FITS (VERB_BEGIN, TX_IDLE, error (TX_IDLE));
   FITS (VERB_WRITE, TX_OPEN, error (TX_OPEN));
   FITS (VERB_READ, TX_OPEN, error (TX_FAILED));
-  FITS (VERB_COMMIT, TX_OPEN, error (TX_IDLE));
+  FITS (VERB_COMMIT, TX_OPEN, error (TX_OPEN));
+  FITS (VERB_ROLLBACK, TX_OPEN, error (TX_IDLE));
   FITS (VERB_READ, TX_FAILED, error (TX_FAILED));
   MISFITS (VERB_WRITE, TX_IDLE, error (TX_FAILED));
   MISFITS (VERB_WRITE, TX_OPEN, error (TX_IDLE));
+  MISFITS (VERB_COMMIT, TX_OPEN, error (TX_IDLE));
 }
 
 static void
