A connection serves one user while its instance answers twice

Cause: a repeated ERROR has no proof and can't be told from the result of the next statement. Nothing but time separates two users of a connection.

Change: for a minute after a reply out of step, renewed by each, connections to that instance are used for one session's statement or transaction and closed, and a BUSY in a transaction is not followed by the same statement on the same connection. Nothing changes for an instance that was not seen to answer twice.

What remains is the first second answer of an instance, if it is an ERROR: docs/design/out-of-step.md.

--- a/src/connection/pool.c
+++ b/src/connection/pool.c
@@ -167,10 +167,8 @@
 static void
 note_out_of_step (const struct cfs_pooled_conn *c)
 {
-  struct target_state *s = state_of (c);
-
-  s->out_of_step[c->user ? CONN_IN_USE : CONN_IDLE]++;
-  target_note_reply (s, cfs_pool_now (c->pool));
+  target_note_out_of_step (state_of (c), c->user != NULL,
+                           cfs_pool_now (c->pool));
   cfs_log (CFS_WARNING, PART,
            "target=%s team=%s in_use=%d pending=%u state=%d connection lost: "
            "%s",
@@ -245,6 +243,12 @@
   free (p);
 }
 
+bool
+cfs_pooled_conn_single_use (const struct cfs_pooled_conn *c)
+{
+  return target_is_single_use (state_of (c), cfs_pool_now (c->pool));
+}
+
 static bool
 is_idle (const struct cfs_pooled_conn *c)
 {
@@ -252,9 +256,10 @@
 }
 
 /* Whether a connection without a user is to be closed: it was not established
-   or drained in time, it is left in a transaction, its target is gone or
-   draining, or it was idle for too long.  It is not closed when it is released
-   or drained, as the reply that is handled may stand in its buffer. */
+   or drained in time, it is left in a transaction, it may not be used again,
+   its target is gone or draining, or it was idle for too long.  It is not
+   closed when it is released or drained, as the reply that is handled may
+   stand in its buffer. */
 static bool
 is_expired (const struct cfs_pool *p, const struct target_state *s,
             const struct cfs_pooled_conn *c, int64_t now)
@@ -268,7 +273,7 @@
     return age > OPEN_TIMEOUT_US;
   if (c->pending)
     return age > DRAIN_TIMEOUT_US;
-  if (c->state != TX_IDLE)
+  if (c->state != TX_IDLE || target_is_single_use (s, now))
     return true;
   if (!t || t->draining)
     return true;
@@ -345,10 +350,18 @@
     }
 }
 
+/* A connection to an instance that answers twice is not reused: the late reply
+   to an earlier user's statement could still come. */
+static struct cfs_pooled_conn *
+find_reusable (const struct target_state *s, const char *team, int64_t now)
+{
+  return target_is_single_use (s, now) ? NULL : find_idle (s, team);
+}
+
 bool
-target_has_idle (const struct target_state *s, const char *team)
+target_has_idle (const struct target_state *s, const char *team, int64_t now)
 {
-  return find_idle (s, team) != NULL;
+  return find_reusable (s, team, now) != NULL;
 }
 
 static struct cfs_pooled_conn *
@@ -390,7 +403,7 @@
 {
   const struct cfs_target *t = cfs_fleet_target (p->fleet, target);
   struct target_state *s = target_state_get (p, target);
-  struct cfs_pooled_conn *c = find_idle (s, team);
+  struct cfs_pooled_conn *c = find_reusable (s, team, now);
 
   if (!t || !target_accepts_work (s, now))
     return NULL;
--- a/src/connection/pool.h
+++ b/src/connection/pool.h
@@ -4,11 +4,12 @@
  *
  * A connection has at most one user at a time.  It can be reused only outside
  * a transaction; after its release the pool consumes the outstanding replies
- * before it hands the connection to another user.  The connection limit of an
- * instance covers all hosts together.  A host keeps as many idle connections
- * as its part of the limit allows, so that there is room for those in use; a
- * host that is refused a connection all the same closes idle ones sooner and
- * backs off.
+ * before it hands the connection to another user.  While an instance is known
+ * to answer twice, a connection serves one user only.  The connection limit of
+ * an instance covers all hosts together.  A host keeps as many idle
+ * connections as its part of the limit allows, so that there is room for those
+ * in use; a host that is refused a connection all the same closes idle ones
+ * sooner and backs off.
  */
 #ifndef CFS_POOL_H
 #define CFS_POOL_H
@@ -192,6 +193,11 @@
 /** cfs_pooled_conn_target() - name of the instance */
 const char *cfs_pooled_conn_target (const struct cfs_pooled_conn *conn);
 
+/** cfs_pooled_conn_single_use() - whether the instance answered a statement
+ * twice lately, so that an error may be the late second reply to an earlier
+ * statement of the connection */
+bool cfs_pooled_conn_single_use (const struct cfs_pooled_conn *conn);
+
 /** cfs_pooled_conn_pending() - number of statements without a reply */
 unsigned cfs_pooled_conn_pending (const struct cfs_pooled_conn *conn);
 
--- a/src/connection/pool_int.h
+++ b/src/connection/pool_int.h
@@ -58,6 +58,7 @@
  * @released_since: time of the first release
  * @released_at: time of the last release
  * @idle: idle connections to keep, as of the last release
+ * @single_use_until: until then, each of its connections serves one user
  * @capacity: learned capacity
  * @opened: connections established
  * @refused: connections refused
@@ -90,6 +91,7 @@
   int64_t released_since;
   int64_t released_at;
   struct idle_limit idle;
+  int64_t single_use_until;
   struct cfs_capacity capacity;
   uint64_t opened;
   uint64_t refused;
@@ -135,6 +137,14 @@
 /** target_note_opened() - records that a connection was established */
 void target_note_opened (struct target_state *state, int64_t took_us);
 
+/** target_note_out_of_step() - records that a connection was out of step */
+void target_note_out_of_step (struct target_state *state, bool in_use,
+                              int64_t now);
+
+/** target_is_single_use() - whether the instance answered a statement twice
+ * lately, so that a connection to it may not be used for somebody else */
+bool target_is_single_use (const struct target_state *state, int64_t now);
+
 /** target_note_release() - records that a connection was released */
 void target_note_release (struct target_state *state, int64_t now);
 
@@ -147,8 +157,10 @@
                                      const struct target_state *state,
                                      const char *service);
 
-/** target_has_idle() - whether a connection of the team is idle */
-bool target_has_idle (const struct target_state *state, const char *team);
+/** target_has_idle() - whether a connection of the team is idle and may be
+ * used */
+bool target_has_idle (const struct target_state *state, const char *team,
+                      int64_t now);
 
 /** target_at_conn_limit() - whether the instance recently refused connections
  */
--- a/src/connection/pool_target.c
+++ b/src/connection/pool_target.c
@@ -35,6 +35,9 @@
    this backoff, doubling up to the maximum. */
 #define BEHIND_US (40 * CFS_US_PER_MS)
 #define BEHIND_MAX_US (640 * CFS_US_PER_MS)
+/* For this time after a reply that did not match, a connection serves one
+   user. */
+#define SINGLE_USE_US (60 * CFS_US_PER_S)
 /* Assumed latency of an instance without recent measurements. */
 #define LATENCY_SAME_REGION_US (20 * CFS_US_PER_MS)
 #define LATENCY_OTHER_REGION_US (50 * CFS_US_PER_MS)
@@ -282,6 +285,20 @@
     s->opening_us = took_us;
 }
 
+void
+target_note_out_of_step (struct target_state *s, bool in_use, int64_t now)
+{
+  s->out_of_step[in_use ? CONN_IN_USE : CONN_IDLE]++;
+  s->single_use_until = now + SINGLE_USE_US;
+  target_note_reply (s, now);
+}
+
+bool
+target_is_single_use (const struct target_state *s, int64_t now)
+{
+  return now < s->single_use_until;
+}
+
 void
 target_note_release (struct target_state *s, int64_t now)
 {
@@ -372,7 +389,7 @@
     return base + base;
   if (now - s->measured_at <= MEASUREMENT_TTL_US)
     base = s->latency_us;
-  if (!target_has_idle (s, team))
+  if (!target_has_idle (s, team, now))
     opening = s->opening_us ? s->opening_us : base;
   return base + base * s->pending / slots + opening
          + failure_cost_us (p, s, now);
--- a/src/connection/session_run.c
+++ b/src/connection/session_run.c
@@ -472,6 +472,7 @@
       return;
     }
   if (r->code == REPLY_BUSY && r->state == TX_OPEN
+      && !cfs_pooled_conn_single_use (s->conn)
       && now + BUSY_RETRY_US < s->op.reject_at)
     {
       s->op.phase = OP_CONN;
--- a/tests/unit/pool.c
+++ b/tests/unit/pool.c
@@ -22,6 +22,8 @@
 #define ATTEMPTS_MAX 20
 /* Maximum time until it is used again once it has capacity. */
 #define RECOVERY_MAX_US (1500 * CFS_US_PER_MS)
+/* Time after a reply out of step after which connections are reused. */
+#define SINGLE_USE_MAX_US (61 * CFS_US_PER_S)
 
 struct fake_conn
 {
@@ -199,6 +201,53 @@
   assert_true (choices <= ATTEMPTS_MAX);
 }
 
+/* Whether a user after the one that releases @conn gets a new connection. */
+static bool
+next_user_opens (struct cfs_pooled_conn **conn)
+{
+  const struct cfs_reply ok = { .code = REPLY_OK };
+  bool opening;
+
+  cfs_pool_release (*conn, world.now);
+  *conn = cfs_pool_acquire (world.pool, "t1", "team", &pooled_conn_events,
+                            &world, world.now, &opening);
+  assert_non_null (*conn);
+  if (opening)
+    world.target_conn->events->opened (world.target_conn->owner, &ok);
+  return opening;
+}
+
+static void
+a_connection_serves_one_user_while_its_instance_answers_twice (void **state)
+{
+  struct fake_conn *first;
+
+  (void)state;
+  world.reply_code = REPLY_OK;
+  while (!world.served)
+    step ();
+  assert_false (next_user_opens (&world.pooled_conn));
+  first = world.target_conn;
+  cfs_pool_release (world.pooled_conn, world.now);
+  world.pooled_conn = NULL;
+  first->events->lost (first->owner, cfs_out_of_step);
+  fake_conn_close (&first->base);
+  step ();
+  step ();
+  while (world.target_conn->reply_at)
+    step ();
+  assert_true (next_user_opens (&world.pooled_conn));
+  cfs_pool_release (world.pooled_conn, world.now);
+  cfs_pool_tick (world.pool, world.now);
+  assert_null (world.target_conn);
+  world.now += SINGLE_USE_MAX_US;
+  world.pooled_conn = NULL;
+  world.served = false;
+  while (!world.served)
+    step ();
+  assert_false (next_user_opens (&world.pooled_conn));
+}
+
 int
 main (void)
 {
@@ -208,7 +257,10 @@
           cmocka_unit_test_setup_teardown (
               attempts_back_off_while_the_instance_is_busy, start, end),
           cmocka_unit_test_setup_teardown (
-              reads_back_off_while_a_log_stays_behind, start, end) };
+              reads_back_off_while_a_log_stays_behind, start, end),
+          cmocka_unit_test_setup_teardown (
+              a_connection_serves_one_user_while_its_instance_answers_twice,
+              start, end) };
 
   cfs_log_open ("test", CFS_ERR);
   return cmocka_run_group_tests (tests, NULL, NULL);
