A reply with two results ends its connection

Cause: the adapter let a second COMPLETE or ERROR line of a reply replace the first, so two replies run into each other could pass as one.

--- a/tests/unit/replies_twice.c
+++ b/tests/unit/replies_twice.c
@@ -386,6 +386,20 @@
   assert_false (sends_more (peer));
 }
 
+static void
+a_reply_with_two_results_is_nobodys_answer (void **state)
+{
+  int peer = write_first ();
+
+  (void)state;
+  ask (&world.b, VERB_WRITE);
+  expect (peer, "WRITE");
+  answer (peer, "COMPLETE p1\r\nCOMPLETE p2\r\nREADY I 1.2\r\n");
+  await_reply (&world.b);
+  assert_int_equal (world.b.code, REPLY_UNKNOWN);
+  assert_true (is_closed (peer));
+}
+
 /* What became of the statements of a control connection. */
 struct probe
 {
@@ -576,6 +590,7 @@
     TEST (a_write_is_not_sent_after_the_late_reply_to_an_earlier_begin),
     TEST (a_second_error_is_not_the_result_of_another_write),
     TEST (a_second_error_does_not_repeat_a_write_of_a_transaction),
+    TEST (a_reply_with_two_results_is_nobodys_answer),
     TEST (a_second_status_does_not_show_a_pause),
   };
 
