--- a/src/connection/pool.c
+++ b/src/connection/pool.c
@@ -142,19 +142,6 @@
     events->opened (user, r);
 }
 
-/* Called for a released connection and for each reply that arrives after its
-   release.  Once none is outstanding, the connection must be outside a
-   transaction to stay in the pool. */
-static void
-drain_released (struct cfs_pooled_conn *c, int64_t now)
-{
-  c->changed_at = now;
-  if (c->pending)
-    return;
-  if (c->state != TX_IDLE)
-    cfs_pool_close_conn (c);
-}
-
 static void
 on_replied (void *owner, const struct cfs_reply *r)
 {
@@ -173,7 +160,20 @@
   if (c->user)
     c->events->replied (c->user, r);
   else
-    drain_released (c, cfs_pool_now (c->pool));
+    c->changed_at = cfs_pool_now (c->pool);
+}
+
+/* The instance is alive, so this is no failure of it. */
+static void
+note_out_of_step (const struct cfs_pooled_conn *c)
+{
+  target_note_out_of_step (state_of (c), c->user != NULL,
+                           cfs_pool_now (c->pool));
+  cfs_log (CFS_WARNING, PART,
+           "target=%s team=%s in_use=%d pending=%u state=%d connection lost: "
+           "%s",
+           c->target, c->team, c->user != NULL, c->pending, c->state,
+           cfs_out_of_step);
 }
 
 static void
@@ -184,7 +184,9 @@
   void *user = c->user;
   bool idle = c->established && !user && c->pending == 0;
 
-  if (!idle)
+  if (reason == cfs_out_of_step)
+    note_out_of_step (c);
+  else if (!idle)
     {
       target_note_failure (state_of (c), cfs_pool_now (c->pool));
       if (c->pending)
@@ -241,6 +243,12 @@
   free (p);
 }
 
+bool
+cfs_pooled_conn_single_use (const struct cfs_pooled_conn *c)
+{
+  return target_is_single_use (state_of (c), cfs_pool_now (c->pool));
+}
+
 static bool
 is_idle (const struct cfs_pooled_conn *c)
 {
@@ -248,8 +256,10 @@
 }
 
 /* Whether a connection without a user is to be closed: it was not established
-   or drained in time, its target is gone or draining, or it was idle for too
-   long. */
+   or drained in time, it is left in a transaction, it may not be used again,
+   its target is gone or draining, or it was idle for too long.  It is not
+   closed when it is released or drained, as the reply that is handled may
+   stand in its buffer. */
 static bool
 is_expired (const struct cfs_pool *p, const struct target_state *s,
             const struct cfs_pooled_conn *c, int64_t now)
@@ -263,6 +273,8 @@
     return age > OPEN_TIMEOUT_US;
   if (c->pending)
     return age > DRAIN_TIMEOUT_US;
+  if (c->state != TX_IDLE || target_is_single_use (s, now))
+    return true;
   if (!t || t->draining)
     return true;
   return target_at_conn_limit (s, now) ? age > IDLE_TIMEOUT_LIMITED_US
@@ -338,10 +350,18 @@
     }
 }
 
+/* A connection to an instance that answers twice is not reused: the late reply
+   to an earlier user's statement could still come. */
+static struct cfs_pooled_conn *
+find_reusable (const struct target_state *s, const char *team, int64_t now)
+{
+  return target_is_single_use (s, now) ? NULL : find_idle (s, team);
+}
+
 bool
-target_has_idle (const struct target_state *s, const char *team)
+target_has_idle (const struct target_state *s, const char *team, int64_t now)
 {
-  return find_idle (s, team) != NULL;
+  return find_reusable (s, team, now) != NULL;
 }
 
 static struct cfs_pooled_conn *
@@ -383,7 +403,7 @@
 {
   const struct cfs_target *t = cfs_fleet_target (p->fleet, target);
   struct target_state *s = target_state_get (p, target);
-  struct cfs_pooled_conn *c = find_idle (s, team);
+  struct cfs_pooled_conn *c = find_reusable (s, team, now);
 
   if (!t || !target_accepts_work (s, now))
     return NULL;
@@ -431,7 +451,7 @@
   target_note_release (s, now);
   if (t)
     s->idle = target_idle_limit (p, s, t->service);
-  drain_released (c, now);
+  c->changed_at = now;
 }
 
 const char *
--- a/src/connection/session_run.c
+++ b/src/connection/session_run.c
@@ -491,6 +491,7 @@
       return;
     }
   if (r->code == REPLY_BUSY && r->state == TX_OPEN
+      && !cfs_pooled_conn_single_use (s->conn)
       && now + BUSY_RETRY_US < s->op.reject_at)
     {
       s->op.phase = OP_CONN;
@@ -539,27 +540,13 @@
     handle_single_error (s, r, now);
 }
 
-static void
-on_replied (void *user, const struct cfs_reply *r)
+/* Whether the only sign that the transaction of a write has begun is the reply
+   to its BEGIN, which has no proof and may be that to an earlier one. */
+static bool
+begin_unconfirmed (const struct cfs_session *s)
 {
-  struct cfs_session *s = user;
-  int64_t now = session_now (s);
-
-  if (s->op.phase == OP_SETUP)
-    handle_setup_reply (s, r);
-  else if (s->op.phase != OP_RUN)
-    {
-      cfs_log (CFS_WARNING, PART,
-               "target=%s unexpected reply, closing the connection",
-               cfs_pooled_conn_target (s->conn));
-      cfs_pool_close_conn (s->conn);
-      s->conn = NULL;
-      s->tx_on_conn = false;
-    }
-  else if (r->code == REPLY_OK)
-    handle_success (s, r, now);
-  else
-    handle_error (s, r, now);
+  return s->state == TX_OPEN && s->op.phase == OP_RUN && s->tx_wrote
+         && !s->tx_answered;
 }
 
 static void
@@ -574,6 +561,11 @@
   s->tx_on_conn = false;
   if (s->op.phase == OP_NONE)
     s->state = TX_FAILED;
+  else if (reason == cfs_out_of_step && begin_unconfirmed (s))
+    {
+      s->state = TX_IDLE;
+      session_reply (s, REPLY_UNKNOWN, reason);
+    }
   else if (s->state == TX_OPEN && (s->tx_answered || s->tx_wrote))
     session_fail_statement (s, REPLY_UNKNOWN, reason, now);
   else if (!sent || (!s->op.writes && s->op.attempts < s->route.max_attempts))
@@ -582,5 +574,27 @@
     session_fail_statement (s, REPLY_FAILED, reason, now);
 }
 
+static void
+on_replied (void *user, const struct cfs_reply *r)
+{
+  struct cfs_session *s = user;
+  int64_t now = session_now (s);
+
+  if (s->op.phase == OP_SETUP)
+    handle_setup_reply (s, r);
+  else if (s->op.phase != OP_RUN)
+    {
+      cfs_log (CFS_WARNING, PART,
+               "target=%s unexpected reply, closing the connection",
+               cfs_pooled_conn_target (s->conn));
+      cfs_pool_close_conn (s->conn);
+      on_lost (s, "unexpected reply");
+    }
+  else if (r->code == REPLY_OK)
+    handle_success (s, r, now);
+  else
+    handle_error (s, r, now);
+}
+
 static const struct cfs_pooled_conn_events conn_events
     = { on_opened, on_replied, on_lost };
