Tests of replies that come twice hold an acknowledgement lease

The fixtures of replies_twice and session_lost had no heartbeat of the leader, under which a host sends no write since the lease of acknowledgements. Their checks are as they were; both pass.

--- a/tests/unit/replies_twice.c
+++ b/tests/unit/replies_twice.c
@@ -547,6 +547,7 @@
   world.loop = cfs_loop_new (world.memory);
   world.adapter = instances_adapter_new (world.loop);
   cfs_fleet_init (&world.fleet, &world.settings, NULL);
+  world.fleet.lease_until = CFS_NEVER;
   cfs_quota_init (&world.quota, cfs_now ());
   world.fleet.catalog = make_catalog ();
   add_target ();
--- a/tests/unit/session_lost.c
+++ b/tests/unit/session_lost.c
@@ -231,6 +231,7 @@
   memset (&world, 0, sizeof world);
   cfs_copy (world.settings.zone, sizeof world.settings.zone, "z");
   cfs_fleet_init (&world.fleet, &world.settings, NULL);
+  world.fleet.lease_until = CFS_NEVER;
   cfs_quota_init (&world.quota, world_clock ());
   world.fleet.catalog = make_catalog ();
   t = cfs_table_add (&world.fleet.targets, "t1");
