--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 $(BUILD)/target: $(BUILD)/tests/standin/target.o
 	$(CC) $(CFLAGS) $^ -o $@
 
-$(BUILD)/group: $(BUILD)/tests/standin/group.o
+$(BUILD)/group: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/standin/group*.c))
 	$(CC) $(CFLAGS) $^ -o $@
 
 $(BUILD)/crowd: $(BUILD)/tests/clients/crowd.o
