--- a/tests/process/clients_stop.sh
+++ b/tests/process/clients_stop.sh
@@ -23,6 +23,8 @@
 expect() { [[ $2 =~ $3 ]] || { echo "$1: $2"; fail "$1"; }; echo "ok $1"; }
 
 start_fleet 160 400 160 400
+# The connection of the last request becomes idle, so that one is pooled.
+sleep 0.3
 open_session 3 > "$RUN/open"
 query 3 a1 "WRITE bowl 1" > "$RUN/first"
 grep -q COMPLETE "$RUN/first" || fail "the first write is not answered"
