Soak: replies sent twice, late promotions and orders, an instance that joins

New faults, drawn from the seed: replies sent twice for some seconds; late promotions and orders while the control hosts are cut off from the primary or it stops; a fourth instance that joins during the run; instances that run and receive for up to 4 s before they report themselves. Faults are drawn from a sequence of their own, so that they don't depend on the callers' progress.

New checks: each proof of a reply belongs to the statement that got it (MIXED), each statement that ran was sent with this text (UNASKED). Some callers prepare, roll back, or leave while a statement is in progress. Violations name their rule.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -19,6 +19,10 @@
 #define REPLY_TIMEOUT_MS 6000
 #define MAX_STALENESS_MS 2000
 #define THINK_TIME_MAX_MS 120
+/* Callers leave during one of so many statements. */
+#define LEAVE_ONE_IN 60
+#define ROLLBACK_ONE_IN 8
+#define LEAVE_MAX_MS 10
 #define RATE_WINDOW_MS 5000
 #define LIMITED_RATE 10.0
 #define LIMITED_BURST 10.0
@@ -62,7 +66,9 @@
   STEP_BEGIN,
   STEP_INNER_READ,
   STEP_INNER_WRITE,
-  STEP_COMMIT
+  STEP_COMMIT,
+  STEP_ROLLBACK,
+  STEP_PREPARE
 };
 
 struct caller
@@ -85,6 +91,9 @@
   unsigned min_value;
   unsigned row_value;
   bool row_of_other_item;
+  int64_t sent_at;
+  /* Whether the connection has the statement for writes. */
+  bool prepared;
   char error_code[32];
   char input[LINE_BYTES * 4];
   size_t input_len;
@@ -110,6 +119,7 @@
   c->stage = CLOSED;
   c->input_len = 0;
   c->session_last_acked = 0;
+  c->prepared = false;
   c->due_at = now_ms () + reconnect_ms;
 }
 
@@ -164,20 +174,28 @@
   return n;
 }
 
+/* @text: as it is sent.  @effect: the same with a prepared statement replaced
+   by its shape, or NULL for a statement without a proof. */
 static void
-send_query (struct caller *c, enum step step, const char *text)
+send_query (struct caller *c, enum step step, const char *text,
+            const char *effect)
 {
   char line[LINE_BYTES];
 
   c->step = step;
   c->stage = WAITING;
-  c->due_at = now_ms () + REPLY_TIMEOUT_MS;
+  c->sent_at = now_ms ();
+  c->due_at = c->sent_at + REPLY_TIMEOUT_MS;
   c->row_value = 0;
   c->row_of_other_item = false;
   *c->error_code = '\0';
   snprintf (line, sizeof line, "QUERY c%u-%u %s\r\n", c->index,
             ++c->statement_count, text);
+  if (effect)
+    proofs_sent (c->index, c->statement_count, effect);
   send_text (c, line);
+  if (random_for_callers (LEAVE_ONE_IN) == 0)
+    c->due_at = now_ms () + random_for_callers (LEAVE_MAX_MS);
 }
 
 static void
@@ -187,24 +205,28 @@
 
   if (step == STEP_READ)
     {
-      c->item = random_below (2) ? c->index : random_below (CALLERS);
+      c->item
+          = random_for_callers (2) ? c->index : random_for_callers (CALLERS);
       c->min_value = min_expected_value (c, &callers[c->item]);
     }
   snprintf (text, sizeof text, "READ i%u", c->item);
-  send_query (c, step, text);
+  send_query (c, step, text, text);
 }
 
 static void
 send_write (struct caller *c, enum step step)
 {
-  char text[64];
+  char text[80];
+  char effect[64];
 
   if (c->write_count + 1 >= WRITES_MAX)
     return;
   c->write_count++;
-  snprintf (text, sizeof text, "WRITE i%u %u-%u", c->index, c->index,
+  snprintf (effect, sizeof effect, "WRITE i%u %u-%u", c->index, c->index,
             c->write_count);
-  send_query (c, step, text);
+  snprintf (text, sizeof text, "%s%s", c->prepared ? "EXECUTE w" : "WRITE",
+            effect + strlen ("WRITE"));
+  send_query (c, step, text, effect);
 }
 
 static void
@@ -214,9 +236,11 @@
     {
       c->item = c->index;
       c->min_value = min_expected_value (c, c);
-      send_query (c, STEP_BEGIN, "BEGIN");
+      send_query (c, STEP_BEGIN, "BEGIN", NULL);
     }
-  else if (random_below (2))
+  else if (c->kind == KIND_READ_YOUR_WRITES && !c->prepared)
+    send_query (c, STEP_PREPARE, "PREPARE w WRITE q", NULL);
+  else if (random_for_callers (2))
     send_write (c, STEP_WRITE);
   else
     send_read (c, STEP_READ);
@@ -255,11 +279,12 @@
 check_row (struct caller *c)
 {
   if (c->row_of_other_item)
-    report_violation ("caller %u: READ returned a row of another item",
+    report_violation ("MIXED: caller %u: READ returned a row of another item",
                       c->index);
   if (c->row_value < c->min_value)
-    report_violation ("caller %u read %u of item %u, expected at least %u",
-                      c->index, c->row_value, c->item, c->min_value);
+    report_violation (
+        "STALE: caller %u read %u of item %u, expected at least %u", c->index,
+        c->row_value, c->item, c->min_value);
 }
 
 static void
@@ -277,18 +302,35 @@
     admitted_at[admitted_count++] = now_ms ();
 }
 
+static bool
+has_proof (enum step step)
+{
+  return step != STEP_BEGIN && step != STEP_ROLLBACK && step != STEP_PREPARE;
+}
+
+static void
+end_transaction (struct caller *c)
+{
+  if (random_for_callers (ROLLBACK_ONE_IN))
+    {
+      send_query (c, STEP_COMMIT, "COMMIT", "COMMIT");
+      return;
+    }
+  c->outcome[c->write_count] = NOT_COMMITTED;
+  send_query (c, STEP_ROLLBACK, "ROLLBACK", NULL);
+}
+
 /* The reply ended with READY: checks it and sends the next statement of a
    transaction. */
 static void
 handle_reply (struct caller *c)
 {
   bool ok = *c->error_code == '\0';
-  int64_t sent_at = c->due_at - REPLY_TIMEOUT_MS;
 
   c->stage = IDLE;
-  c->due_at = now_ms () + random_below (THINK_TIME_MAX_MS);
-  if (ok && c->step != STEP_BEGIN)
-    record_success (c, sent_at);
+  c->due_at = now_ms () + random_for_callers (THINK_TIME_MAX_MS);
+  if (ok && has_proof (c->step))
+    record_success (c, c->sent_at);
   if (ok && (c->step == STEP_READ || c->step == STEP_INNER_READ))
     check_row (c);
   if (c->step == STEP_WRITE || c->step == STEP_COMMIT)
@@ -300,9 +342,11 @@
   else if (ok && c->step == STEP_INNER_READ)
     send_write (c, STEP_INNER_WRITE);
   else if (ok && c->step == STEP_INNER_WRITE)
-    send_query (c, STEP_COMMIT, "COMMIT");
+    end_transaction (c);
+  else if (ok && c->step == STEP_PREPARE)
+    c->prepared = true;
   else if (!ok)
-    close_caller (c, 100 + random_below (300));
+    close_caller (c, 100 + random_for_callers (300));
 }
 
 /* The connection was closed or the reply timed out.  A write inside a
@@ -312,7 +356,7 @@
 {
   if (c->stage == WAITING && c->step == STEP_INNER_WRITE)
     c->outcome[c->write_count] = NOT_COMMITTED;
-  close_caller (c, 100 + random_below (300));
+  close_caller (c, 100 + random_for_callers (300));
 }
 
 static void
@@ -328,19 +372,21 @@
           return;
         }
       c->stage = IDLE;
-      c->due_at = now_ms () + random_below (THINK_TIME_MAX_MS);
+      c->due_at = now_ms () + random_for_callers (THINK_TIME_MAX_MS);
     }
   else if (c->stage != WAITING)
     {
       if (strncmp (line, "ERROR", 5) != 0)
-        report_violation (
-            "caller %u: line received with no statement in progress: %s",
-            c->index, line);
+        report_violation ("MIXED: caller %u: line received with no statement "
+                          "in progress: %s",
+                          c->index, line);
     }
   else if (sscanf (line, "ROW %u-%u", &owner, &c->row_value) == 2)
     c->row_of_other_item = owner != c->item;
   else if (strncmp (line, "ERROR ", 6) == 0)
     sscanf (line, "ERROR %31s", c->error_code);
+  else if (strncmp (line, "COMPLETE ", 9) == 0 && has_proof (c->step))
+    proofs_received (c->index, c->statement_count, line + 9);
   else if (strncmp (line, "READY", 5) == 0)
     handle_reply (c);
 }
@@ -429,10 +475,11 @@
   if (sscanf (item, "i%u", &item_index) != 1
       || sscanf (data, "%u-%u", &writer, &n) != 2 || writer != item_index
       || item_index >= CALLERS || n >= WRITES_MAX)
-    report_violation ("the group's log has %s %s, which no caller wrote", item,
-                      data);
+    report_violation (
+        "UNASKED: the group's log has %s %s, which no caller wrote", item,
+        data);
   else if (callers[item_index].commit_count[n]++ > 0)
-    report_violation ("write %s was committed twice", data);
+    report_violation ("TWICE: write %s was committed twice", data);
 }
 
 /* No window of RATE_WINDOW_MS may hold more successes than rate and burst
@@ -464,7 +511,7 @@
 {
   unsigned acked = 0;
 
-  if (!fleet_read_commits (count_commit))
+  if (!proofs_check (count_commit))
     report_violation ("the group's log could not be read completely");
   for (unsigned i = 0; i < CALLERS; i++)
     for (unsigned n = 1; n <= callers[i].write_count; n++)
@@ -474,10 +521,12 @@
         acked += c->outcome[n] == ACKED;
         if (c->outcome[n] == ACKED && !c->commit_count[n])
           report_violation (
-              "write %u-%u was acknowledged but is not in the log", i, n);
+              "LOST: write %u-%u was acknowledged but is not in the log", i,
+              n);
         if (c->outcome[n] == NOT_COMMITTED && c->commit_count[n])
           report_violation (
-              "write %u-%u must not be committed but is in the log", i, n);
+              "REFUSED: write %u-%u must not be committed but is in the log",
+              i, n);
       }
   check_rate ();
   log_event ("%u writes acknowledged, %zu statements of the rate-limited team "
--- a/tests/soak/fleet.c
+++ b/tests/soak/fleet.c
@@ -9,15 +9,12 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/wait.h>
-#include <time.h>
 #include <unistd.h>
 
 #define HOSTS (CORES + FRONTS)
 /* A control host's data is deleted only when all control hosts have been
    running for this time, so that the others have caught up with the log. */
 #define CATCH_UP_MS 8000
-/* A draining instance reports its state for this time before it stops. */
-#define DRAIN_MS 2500
 
 struct process
 {
@@ -33,22 +30,7 @@
   int64_t running_since;
 };
 
-/* An instance of the group, driven by commands to the stand-in.  Times are 0
-   when nothing is pending. */
-struct instance
-{
-  bool down;
-  bool draining;
-  int64_t incarnation;
-  int64_t stop_at;
-  int64_t restart_at;
-  int64_t replication_cut_until;
-};
-
 static struct process hosts[HOSTS];
-static struct instance instances[INSTANCES];
-static pid_t group_pid;
-static int group_stdin;
 static char folder[PATH_BYTES];
 static unsigned subnet;
 static bool first_start = true;
@@ -62,19 +44,14 @@
   return text;
 }
 
-static int64_t
-unix_ms (void)
+const char *
+fleet_folder (void)
 {
-  struct timespec t;
-
-  clock_gettime (CLOCK_REALTIME, &t);
-  return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
+  return folder;
 }
 
-/* Starts a program with stdout and stderr appended to @log.  @in becomes its
-   stdin unless negative; @settings is the path of a host's settings file. */
-static pid_t
-spawn (const char *log, int in, char *const argv[], const char *settings)
+pid_t
+fleet_spawn (const char *log, int in, char *const argv[], const char *settings)
 {
   pid_t pid = fork ();
   int out;
@@ -149,55 +126,17 @@
   snprintf (settings, sizeof settings, "%s/%s.json", folder, hosts[n].name);
   snprintf (log, sizeof log, "%s/%s.log", folder, hosts[n].name);
   write_settings (n, settings);
-  hosts[n].pid = spawn (log, -1, argv, settings);
+  hosts[n].pid = fleet_spawn (log, -1, argv, settings);
   hosts[n].restart_at = 0;
   hosts[n].running_since = now_ms ();
 }
 
-static void
-start_group (void)
-{
-  const char *build = getenv ("BUILD");
-  char binary[PATH_BYTES];
-  char log[PATH_BYTES + 32];
-  char ports[INSTANCES + 1][16];
-  char address[32];
-  char service[] = "db";
-  char *argv[] = { binary,   service,  ports[0], ports[1],
-                   ports[2], ports[3], address,  NULL };
-  int pipes[2];
-
-  snprintf (binary, sizeof binary, "%s/group", build ? build : "build");
-  snprintf (log, sizeof log, "%s/group.log", folder);
-  snprintf (address, sizeof address, "%s", loopback_address (ADDRESS_GROUP));
-  for (int i = 0; i < INSTANCES; i++)
-    snprintf (ports[i], sizeof ports[i], "%d", PORT_GROUP + i);
-  snprintf (ports[INSTANCES], sizeof ports[0], "%d", PORT_PROMOTION);
-  if (pipe2 (pipes, O_CLOEXEC) != 0)
-    exit (2);
-  group_pid = spawn (log, pipes[0], argv, NULL);
-  close (pipes[0]);
-  group_stdin = pipes[1];
-}
-
-static void
-send_group_command (const char *word, unsigned instance)
-{
-  char line[32];
-  int len = snprintf (line, sizeof line, "%s %u\n", word, instance + 1);
-
-  if (write (group_stdin, line, (size_t)len) != len)
-    report_violation ("cannot write a command to the group stand-in");
-}
-
 void
 fleet_start (const char *run_folder, unsigned run_subnet)
 {
   snprintf (folder, sizeof folder, "%s", run_folder);
   subnet = run_subnet;
-  start_group ();
-  for (unsigned i = 0; i < INSTANCES; i++)
-    instances[i].incarnation = unix_ms ();
+  instances_start ();
   for (unsigned n = 0; n < HOSTS; n++)
     {
       snprintf (hosts[n].name, sizeof hosts[n].name, "%s%u",
@@ -244,28 +183,7 @@
       if (!p->pid && now >= p->restart_at)
         start_host (n);
     }
-  for (unsigned i = 0; i < INSTANCES; i++)
-    {
-      struct instance *in = &instances[i];
-
-      if (in->replication_cut_until && now >= in->replication_cut_until)
-        {
-          in->replication_cut_until = 0;
-          send_group_command ("hear", i);
-        }
-      if (in->stop_at && now >= in->stop_at)
-        {
-          in->stop_at = 0;
-          in->down = true;
-          send_group_command ("stop", i);
-        }
-      if (in->down && now >= in->restart_at)
-        {
-          in->down = in->draining = false;
-          in->incarnation = unix_ms ();
-          send_group_command ("start", i);
-        }
-    }
+  instances_tick (now);
 }
 
 /* Kills a host with SIGKILL and schedules its restart. */
@@ -324,48 +242,13 @@
   p->resume_at = now_ms () + ms;
 }
 
-/* Cuts the replication to one instance.  At most one at a time: meanwhile
-   another instance may hold the only copy of a commit. */
-static void
-cut_replication (void)
-{
-  unsigned i = random_below (INSTANCES);
-  unsigned ms = 500 + random_below (3500);
-
-  for (unsigned k = 0; k < INSTANCES; k++)
-    if (instances[k].replication_cut_until)
-      return;
-  instances[i].replication_cut_until = now_ms () + ms;
-  send_group_command ("deaf", i);
-  log_event ("instance t%u: replication cut for %u ms", i + 1, ms);
-}
-
-/* Stops an instance, half of the time after it drained.  At most one instance
-   is down at a time. */
-static void
-stop_random_instance (void)
-{
-  unsigned i = random_below (INSTANCES);
-  struct instance *in = &instances[i];
-  bool drains = random_below (2);
-
-  for (unsigned k = 0; k < INSTANCES; k++)
-    if (instances[k].down || instances[k].stop_at)
-      return;
-  in->draining = drains;
-  in->stop_at = now_ms () + (drains ? DRAIN_MS : 1);
-  in->restart_at = in->stop_at + 500 + random_below (3000);
-  log_event ("instance t%u %s", i + 1,
-             drains ? "drains, then stops" : "stops");
-}
-
 void
 fleet_inject_fault (void)
 {
   struct process *p = &hosts[random_below (HOSTS)];
   unsigned ms = 200 + random_below (4000);
 
-  switch (random_below (11))
+  switch (random_below (8))
     {
     case 0:
     case 1:
@@ -390,18 +273,11 @@
         kill_host (&hosts[n], 100 + random_below (800));
       log_event ("all control hosts killed");
       break;
-    case 7:
+    default:
       p = &hosts[random_below (CORES)];
       kill_host (p, 200 + random_below (500));
       append_torn_record (p);
       break;
-    case 8:
-    case 9:
-      cut_replication ();
-      break;
-    default:
-      stop_random_instance ();
-      break;
     }
 }
 
@@ -416,53 +292,7 @@
       if (hosts[n].restart_at > now)
         hosts[n].restart_at = now;
     }
-  for (unsigned i = 0; i < INSTANCES; i++)
-    if (instances[i].replication_cut_until)
-      instances[i].replication_cut_until = now;
-  for (unsigned i = 0; i < INSTANCES; i++)
-    if (instances[i].stop_at || instances[i].down)
-      instances[i].restart_at = now + 200;
-}
-
-bool
-fleet_is_draining (unsigned i)
-{
-  return instances[i].draining;
-}
-
-int64_t
-fleet_incarnation (unsigned i)
-{
-  return instances[i].incarnation;
-}
-
-/* The stand-in prints its log to group.log and has 500 ms for it. */
-bool
-fleet_read_commits (void (*each) (const char *item, const char *data))
-{
-  char path[PATH_BYTES + 32];
-  char line[LINE_BYTES];
-  char item[64];
-  char data[64];
-  bool complete = false;
-  FILE *f;
-
-  if (write (group_stdin, "dump\n", 5) != 5)
-    return false;
-  usleep (500000);
-  snprintf (path, sizeof path, "%s/group.log", folder);
-  f = fopen (path, "r");
-  while (f && fgets (line, sizeof line, f))
-    {
-      if (strncmp (line, "FAULT", 5) == 0)
-        report_violation ("%s", line);
-      if (sscanf (line, "commit %*s %63s %63s", item, data) == 2)
-        each (item, data);
-      complete = complete || strcmp (line, "end\n") == 0;
-    }
-  if (f)
-    fclose (f);
-  return complete;
+  instances_heal ();
 }
 
 void
@@ -470,6 +300,5 @@
 {
   for (unsigned n = 0; n < HOSTS; n++)
     kill_host (&hosts[n], 0);
-  kill (group_pid, SIGKILL);
-  waitpid (group_pid, NULL, 0);
+  instances_stop ();
 }
--- a/tests/soak/operator.c
+++ b/tests/soak/operator.c
@@ -25,6 +25,7 @@
 
 static atomic_llong key_revoked_at;
 static atomic_bool changes_stopped;
+static atomic_int last_primary = -1;
 static uint64_t random_state;
 static uint64_t sequence[INSTANCES];
 static uint64_t last_version;
@@ -135,18 +136,20 @@
   char body[LINE_BYTES];
   bool primary;
 
-  if (!query_role (i, &primary))
+  if (!instance_reports (i) || !query_role (i, &primary))
     return;
+  if (primary)
+    atomic_store (&last_primary, (int)i);
   snprintf (path, sizeof path, "/v1/Instances.Heartbeat/t%u", i + 1);
   snprintf (body, sizeof body,
             "{\"service\":\"db\",\"address\":\"%s:%u\",\"zone\":\"z%u\","
             "\"version\":\"v1\",\"slots\":5,\"state\":\"%s\","
             "\"cold_remaining_ms\":0,\"db_role\":\"%s\","
             "\"sequence\":%llu,\"born\":%lld}",
-            loopback_address (ADDRESS_GROUP + 1 + i), PORT_GROUP + i, i,
-            fleet_is_draining (i) ? "draining" : "ready",
+            loopback_address (ADDRESS_GROUP + 1 + i), PORT_GROUP + i,
+            i % CORES, instance_is_draining (i) ? "draining" : "ready",
             primary ? "primary" : "replica", (unsigned long long)++sequence[i],
-            (long long)fleet_incarnation (i));
+            (long long)instance_incarnation (i));
   send_request (path, body, &r);
 }
 
@@ -292,6 +295,12 @@
   atomic_store (&changes_stopped, true);
 }
 
+int
+operator_primary (void)
+{
+  return atomic_load (&last_primary);
+}
+
 int64_t
 operator_key_revoked_at (void)
 {
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -42,6 +42,8 @@
   unsigned dest_port;
   /* Towards the destination, and from it. */
   bool blocked[2];
+  /* Connections of control hosts only. */
+  int64_t control_blocked_until;
   int delay_ms;
   int64_t fault_until;
 };
@@ -61,7 +63,8 @@
 {
   struct listener *listener;
   int fd[2];
-  bool connecting;
+  /* Whether its first bytes name the control hosts' team. */
+  bool control;
   struct direction direction[2];
 };
 
@@ -159,10 +162,14 @@
         return false;
       if (n > 0 && d->len == 0)
         d->send_at = now + r->listener->delay_ms;
+      if (n > 0 && direction == 0 && d->len == 0)
+        r->control
+            = r->control || memmem (d->bytes, (size_t)n, " control ", 9);
       if (n > 0)
         d->len += (size_t)n;
     }
-  if (r->listener->blocked[direction] || now < d->send_at)
+  if (r->listener->blocked[direction] || now < d->send_at
+      || (r->control && now < r->listener->control_blocked_until))
     return true;
   if (d->len)
     {
@@ -274,11 +281,26 @@
              l->dest_port, kind, ms);
 }
 
+void
+proxy_cut_control (unsigned instance, unsigned ms)
+{
+  pthread_mutex_lock (&lock);
+  for (size_t i = 0; i < listener_count; i++)
+    if (listeners[i].dest_port == PORT_GROUP + instance)
+      listeners[i].control_blocked_until = now_ms () + ms;
+  pthread_mutex_unlock (&lock);
+  log_event ("instance t%u: control hosts cut off for %u ms", instance + 1,
+             ms);
+}
+
 void
 proxy_heal (void)
 {
   pthread_mutex_lock (&lock);
   for (size_t i = 0; i < listener_count; i++)
-    listeners[i].fault_until = 1;
+    {
+      listeners[i].fault_until = 1;
+      listeners[i].control_blocked_until = 0;
+    }
   pthread_mutex_unlock (&lock);
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -30,7 +30,8 @@
 #define SUBNETS 200
 #define SUBNET_FIRST 10
 
-static uint64_t random_state;
+static uint64_t fault_random;
+static uint64_t caller_random;
 static unsigned violations;
 static int64_t started_at;
 static FILE *event_log;
@@ -48,16 +49,29 @@
 void
 random_seed (uint64_t seed)
 {
-  random_state = seed * UINT64_C (0x9E3779B97F4A7C15) + 1;
+  fault_random = seed * UINT64_C (0x9E3779B97F4A7C15) + 1;
+  caller_random = ~fault_random;
+}
+
+static unsigned
+next_random (uint64_t *state, unsigned bound)
+{
+  *state ^= *state << 13;
+  *state ^= *state >> 7;
+  *state ^= *state << 17;
+  return (unsigned)((*state >> 11) % bound);
 }
 
 unsigned
 random_below (unsigned bound)
 {
-  random_state ^= random_state << 13;
-  random_state ^= random_state >> 7;
-  random_state ^= random_state << 17;
-  return (unsigned)((random_state >> 11) % bound);
+  return next_random (&fault_random, bound);
+}
+
+unsigned
+random_for_callers (unsigned bound)
+{
+  return next_random (&caller_random, bound);
 }
 
 static void
@@ -123,10 +137,18 @@
       callers_tick (5);
       if (!with_faults || now_ms () < fault_at)
         continue;
-      if (random_below (2))
-        proxy_inject_fault ();
-      else
-        fleet_inject_fault ();
+      switch (random_below (4))
+        {
+        case 0:
+          proxy_inject_fault ();
+          break;
+        case 1:
+          fleet_inject_fault ();
+          break;
+        default:
+          instances_inject_fault ();
+          break;
+        }
       fault_at = now_ms () + random_below (FAULT_GAP_MAX_MS);
     }
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -4,7 +4,8 @@
  * the proxy against the replies to callers and the log of the database group.
  *
  * The fleet has three hosts with role core (control), three with role front
- * (sessions of callers) and one stand-in group of three instances.  All
+ * (sessions of callers) and one stand-in group of four instances, the last of
+ * which joins later.  All
  * connections except those of the operator thread go through TCP forwarders
  * that can block, delay or reset them.
  */
@@ -14,10 +15,11 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <sys/types.h>
 
 #define CORES 3
 #define FRONTS 3
-#define INSTANCES 3
+#define INSTANCES 4
 #define CALLERS 15
 #define LINE_BYTES 512
 #define PATH_BYTES 256
@@ -44,11 +46,15 @@
  * is suspended */
 int64_t now_ms (void);
 
-/** random_below() - pseudo-random number below @bound from the run's seed;
- * for the main thread only */
+/** random_below() - pseudo-random number below @bound from the run's seed,
+ * for the faults; for the main thread only */
 unsigned random_below (unsigned bound);
 
-/** random_seed() - seeds random_below() */
+/** random_for_callers() - the same from a second sequence, so that the faults
+ * do not depend on how many statements callers send */
+unsigned random_for_callers (unsigned bound);
+
+/** random_seed() - seeds both sequences */
 void random_seed (uint64_t seed);
 
 /** report_violation() - logs, prints and counts a violated guarantee; the run
@@ -81,26 +87,70 @@
 /** fleet_stop() - kills all processes of the run */
 void fleet_stop (void);
 
+/** fleet_folder() - the run's folder */
+const char *fleet_folder (void);
+
+/** fleet_spawn() - starts a program with stdout and stderr appended to @log;
+ * @in becomes its stdin unless negative, @settings is the path of a host's
+ * settings file or NULL */
+pid_t fleet_spawn (const char *log, int in, char *const argv[],
+                   const char *settings);
+
 /** fleet_tick() - resumes and restarts hosts and instances that are due */
 void fleet_tick (void);
 
 /** fleet_heal() - makes all pending resumes and restarts due at once */
 void fleet_heal (void);
 
-/** fleet_inject_fault() - kills, pauses, stops or wipes hosts, stops an
- * instance or cuts its replication */
+/** fleet_inject_fault() - kills, pauses, stops or wipes hosts */
 void fleet_inject_fault (void);
 
-/** fleet_is_draining() - whether the instance reports state "draining" */
-bool fleet_is_draining (unsigned instance);
+/** instances_start() - starts the stand-in group; all but the last instance
+ * run */
+void instances_start (void);
+
+/** instances_stop() - kills the stand-in */
+void instances_stop (void);
+
+/** instances_tick() - stops, starts and heals what is due */
+void instances_tick (int64_t now);
+
+/** instances_heal() - ends all faults of instances */
+void instances_heal (void);
+
+/** instances_inject_fault() - stops an instance, cuts its replication, makes
+ * instances reply twice, or disturbs a failover */
+void instances_inject_fault (void);
+
+/** instance_is_draining() - whether the instance reports state "draining" */
+bool instance_is_draining (unsigned instance);
 
-/** fleet_incarnation() - time of the instance's last start in Unix
+/** instance_reports() - whether the instance sends heartbeats */
+bool instance_reports (unsigned instance);
+
+/** instance_incarnation() - time of the instance's last start in Unix
  * milliseconds, reported as "born" */
-int64_t fleet_incarnation (unsigned instance);
+int64_t instance_incarnation (unsigned instance);
+
+/* A committed write, in commit order; a statement that ran. */
+typedef void commit_callback (const char *item, const char *data);
+typedef void run_callback (const char *id, unsigned long proof,
+                           const char *text);
+
+/** instances_read_log() - calls @commit and @run for the entries of the
+ * group's log; false if it was not read completely */
+bool instances_read_log (commit_callback *commit, run_callback *run);
+
+/** proofs_sent() - records a read, write or commit that a caller sends */
+void proofs_sent (unsigned caller, unsigned number, const char *text);
 
-/** fleet_read_commits() - calls @each for each committed write in the group's
- * log, in commit order; false if the log was not read completely */
-bool fleet_read_commits (void (*each) (const char *item, const char *data));
+/** proofs_received() - records the proof in the reply to it */
+void proofs_received (unsigned caller, unsigned number, const char *proof);
+
+/** proofs_check() - compares what callers sent and received with what ran, and
+ * calls @commit for each committed write; false if the log was not read
+ * completely */
+bool proofs_check (commit_callback *commit);
 
 /** proxy_start() - opens all forwarders and runs them in a thread */
 void proxy_start (void);
@@ -109,6 +159,10 @@
  * forwarder */
 void proxy_inject_fault (void);
 
+/** proxy_cut_control() - blocks the connections of control hosts to an
+ * instance */
+void proxy_cut_control (unsigned instance, unsigned ms);
+
 /** proxy_heal() - ends all faults of the forwarders */
 void proxy_heal (void);
 
@@ -120,6 +174,10 @@
  * sends no further documents */
 void operator_stop_changes (void);
 
+/** operator_primary() - the instance that last said that it is primary, -1
+ * before */
+int operator_primary (void);
+
 /** operator_key_revoked_at() - time (now_ms()) at which the revocation of the
  * guests' key was acknowledged, 0 while the key may be valid */
 int64_t operator_key_revoked_at (void);
