Stand-in group prints the time and the connection of what runs

A violation of the soak is traced by the lines of group.log around the proof: what ran on which connection, which replies were sent again, when a promotion took effect and how much of the log it kept.

--- a/tests/soak/instances.c
+++ b/tests/soak/instances.c
@@ -284,7 +284,9 @@
     report_violation ("%s", line);
   else if (sscanf (line, "commit %*s %63s %63s", a, b) == 2)
     commit (a, b);
-  else if (sscanf (line, "ran %63s mac.%lu %n", a, &proof, &text_at) == 2
+  else if (sscanf (line, "%*s t%*u connection %*u ran %63s mac.%lu %n", a,
+                   &proof, &text_at)
+               == 2
            && text_at)
     run (a, proof, line + text_at);
 }
--- a/tests/standin/group.c
+++ b/tests/standin/group.c
@@ -31,7 +31,9 @@
 #include "group.h"
 
 #include <arpa/inet.h>
+#include <inttypes.h>
 #include <signal.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -67,6 +69,23 @@
   return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
 }
 
+void
+print_event (const char *format, ...)
+{
+  struct timespec t;
+  struct tm day;
+  va_list args;
+
+  clock_gettime (CLOCK_REALTIME, &t);
+  gmtime_r (&t.tv_sec, &day);
+  printf ("%02d:%02d:%02d.%03ld ", day.tm_hour, day.tm_min, day.tm_sec,
+          t.tv_nsec / 1000000);
+  va_start (args, format);
+  vprintf (format, args);
+  va_end (args);
+  putchar ('\n');
+}
+
 unsigned
 random_below (unsigned bound)
 {
@@ -183,7 +202,7 @@
   for (int i = 0; i < CONNECTIONS; i++)
     if (connections[i].fd >= 0 && connections[i].instance == index)
       close_connection (&connections[i]);
-  printf ("t%d stops\n", index + 1);
+  print_event ("t%d stops", index + 1);
 }
 
 static void
@@ -196,6 +215,7 @@
   in->fd = listen_on (ports[index]);
   in->up = true;
   in->held_term = 0;
+  print_event ("t%d starts with %" PRIu64 " commits", index + 1, in->received);
 }
 
 static void
--- a/tests/standin/group.h
+++ b/tests/standin/group.h
@@ -91,6 +91,9 @@
 extern uint64_t term;
 
 int64_t now_ms (void);
+/* Prints a line that begins with the time of day. */
+void print_event (const char *format, ...)
+    __attribute__ ((format (printf, 1, 2)));
 /* A number from 0 to @bound - 1. */
 unsigned random_below (unsigned bound);
 int listen_on (const char *port);
--- a/tests/standin/group_log.c
+++ b/tests/standin/group_log.c
@@ -79,14 +79,21 @@
 pause_instance (int instance, uint64_t pause_term)
 {
   if (instance != primary && pause_term > term)
-    instances[instance].held_term = pause_term;
+    {
+      instances[instance].held_term = pause_term;
+      print_event ("t%d is paused at %" PRIu64, instance + 1,
+                   instances[instance].received);
+    }
 }
 
 void
 demote_instance (int instance, uint64_t demote_term)
 {
   if (instance == primary && demote_term > term)
-    primary = -1;
+    {
+      primary = -1;
+      print_event ("t%d is no longer primary", instance + 1);
+    }
 }
 
 /* Connections that wait for a commit lost by this are closed without a
@@ -110,9 +117,10 @@
 {
   if (instance == primary || !instances[instance].up)
     return;
-  printf ("t%d is primary in term %" PRIu64 " with %" PRIu64 " of %" PRIu64
-          " commits\n",
-          instance + 1, term + 1, instances[instance].received, last_commit);
+  print_event ("t%d is primary in term %" PRIu64 " with %" PRIu64
+               " of %" PRIu64 " commits",
+               instance + 1, term + 1, instances[instance].received,
+               last_commit);
   primary = instance;
   term++;
   truncate_log (instances[instance].received);
--- a/tests/standin/group_promotion.c
+++ b/tests/standin/group_promotion.c
@@ -95,8 +95,8 @@
       late_count--;
       p->check_at
           = now + LATE_MIN_MS + random_below (LATE_MAX_MS - LATE_MIN_MS);
-      printf ("promotion of t%d is carried out %d ms late\n",
-              named_instance (p) + 1, (int)(p->check_at - now));
+      print_event ("promotion of t%d is carried out %d ms late",
+                   named_instance (p) + 1, (int)(p->check_at - now));
       return;
     }
   ok = check (p);
--- a/tests/standin/group_statements.c
+++ b/tests/standin/group_statements.c
@@ -2,8 +2,8 @@
  * Statements and their replies.  While replies stutter, some are sent a second
  * time later.  A late order (PAUSE, RESUME, DEMOTE) gets no reply.
  *
- * "ran ID PROOF TEXT" is printed for each read, write and commit that runs; a
- * line that begins with FAULT is a violation.
+ * "TIME tN connection SERIAL ran ID PROOF TEXT" is printed for each read,
+ * write and commit that runs; a line that begins with FAULT is a violation.
  */
 #include "group.h"
 
@@ -120,9 +120,10 @@
 record_run (const struct connection *c, const char *verb, const char *item,
             const char *data)
 {
-  printf ("ran %s mac.%" PRIu64 " %s%s%s%s%s\n", c->id, ++proof_count, verb,
-          item ? " " : "", item ? item : "", data ? " " : "",
-          data ? data : "");
+  print_event ("t%d connection %u ran %s mac.%" PRIu64 " %s%s%s%s%s",
+               c->instance + 1, c->serial, c->id, ++proof_count, verb,
+               item ? " " : "", item ? item : "", data ? " " : "",
+               data ? data : "");
   return proof_count;
 }
 
@@ -310,11 +311,14 @@
   if (l->order && instances[l->instance].up)
     {
       apply_order (l->instance, l->text);
-      printf ("t%d: late order %s\n", l->instance + 1, l->text);
+      print_event ("t%d: late order %s", l->instance + 1, l->text);
     }
-  if (open && l->order)
-    shutdown (c->fd, SHUT_RDWR);
-  else if (open && send (c->fd, l->text, strlen (l->text), MSG_NOSIGNAL) < 0)
+  if (!open)
+    return;
+  if (!l->order)
+    print_event ("t%d connection %u gets again %.*s", c->instance + 1,
+                 c->serial, (int)strcspn (l->text, "\r"), l->text);
+  if (l->order || send (c->fd, l->text, strlen (l->text), MSG_NOSIGNAL) < 0)
     shutdown (c->fd, SHUT_RDWR);
 }
 
