Soak: callers pause and leave inside transactions; COMMIT must run on the connection of its transaction

A reply that comes again during a pause of a transaction was never seen by the soak: its callers sent the next statement at once. The check of the connection (PINNED) is new.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -22,6 +22,8 @@
 /* Callers leave during one of so many statements. */
 #define LEAVE_ONE_IN 60
 #define ROLLBACK_ONE_IN 8
+/* Callers leave in one of so many pauses of a transaction. */
+#define LEAVE_TX_ONE_IN 20
 #define LEAVE_MAX_MS 10
 #define RATE_WINDOW_MS 5000
 #define LIMITED_RATE 10.0
@@ -92,6 +94,8 @@
   unsigned row_value;
   bool row_of_other_item;
   int64_t sent_at;
+  /* A transaction is open, its last statement was @step. */
+  bool in_tx;
   /* Whether the connection has the statement for writes. */
   bool prepared;
   char error_code[32];
@@ -119,6 +123,7 @@
   c->stage = CLOSED;
   c->input_len = 0;
   c->session_last_acked = 0;
+  c->in_tx = false;
   c->prepared = false;
   c->due_at = now_ms () + reconnect_ms;
 }
@@ -229,10 +234,48 @@
   send_query (c, step, text, effect);
 }
 
+/* The connection was closed, by the caller perhaps, or the reply timed out.  A
+   write inside a transaction whose COMMIT was not sent cannot be committed. */
+static void
+fail_connection (struct caller *c)
+{
+  if (c->step == STEP_INNER_WRITE && (c->in_tx || c->stage == WAITING))
+    c->outcome[c->write_count] = NOT_COMMITTED;
+  close_caller (c, 100 + random_for_callers (300));
+}
+
+static void
+end_transaction (struct caller *c)
+{
+  if (random_for_callers (ROLLBACK_ONE_IN))
+    {
+      send_query (c, STEP_COMMIT, "COMMIT", "COMMIT");
+      return;
+    }
+  c->outcome[c->write_count] = NOT_COMMITTED;
+  send_query (c, STEP_ROLLBACK, "ROLLBACK", NULL);
+}
+
+/* Sends the next statement of the open transaction, or leaves. */
+static void
+continue_transaction (struct caller *c)
+{
+  if (random_for_callers (LEAVE_TX_ONE_IN) == 0)
+    fail_connection (c);
+  else if (c->step == STEP_BEGIN)
+    send_read (c, STEP_INNER_READ);
+  else if (c->step == STEP_INNER_READ)
+    send_write (c, STEP_INNER_WRITE);
+  else
+    end_transaction (c);
+}
+
 static void
 start_operation (struct caller *c)
 {
-  if (c->kind == KIND_TRANSACTION)
+  if (c->in_tx)
+    continue_transaction (c);
+  else if (c->kind == KIND_TRANSACTION)
     {
       c->item = c->index;
       c->min_value = min_expected_value (c, c);
@@ -308,20 +351,7 @@
   return step != STEP_BEGIN && step != STEP_ROLLBACK && step != STEP_PREPARE;
 }
 
-static void
-end_transaction (struct caller *c)
-{
-  if (random_for_callers (ROLLBACK_ONE_IN))
-    {
-      send_query (c, STEP_COMMIT, "COMMIT", "COMMIT");
-      return;
-    }
-  c->outcome[c->write_count] = NOT_COMMITTED;
-  send_query (c, STEP_ROLLBACK, "ROLLBACK", NULL);
-}
-
-/* The reply ended with READY: checks it and sends the next statement of a
-   transaction. */
+/* The reply ended with READY: checks it. */
 static void
 handle_reply (struct caller *c)
 {
@@ -337,28 +367,12 @@
     record_outcome (c, ok);
   if (!ok && c->step == STEP_INNER_WRITE)
     record_outcome (c, false);
-  if (ok && c->step == STEP_BEGIN)
-    send_read (c, STEP_INNER_READ);
-  else if (ok && c->step == STEP_INNER_READ)
-    send_write (c, STEP_INNER_WRITE);
-  else if (ok && c->step == STEP_INNER_WRITE)
-    end_transaction (c);
-  else if (ok && c->step == STEP_PREPARE)
-    c->prepared = true;
-  else if (!ok)
+  c->in_tx = c->step >= STEP_BEGIN && c->step <= STEP_INNER_WRITE;
+  c->prepared = c->prepared || c->step == STEP_PREPARE;
+  if (!ok)
     close_caller (c, 100 + random_for_callers (300));
 }
 
-/* The connection was closed or the reply timed out.  A write inside a
-   transaction whose COMMIT was not sent cannot be committed. */
-static void
-fail_connection (struct caller *c)
-{
-  if (c->stage == WAITING && c->step == STEP_INNER_WRITE)
-    c->outcome[c->write_count] = NOT_COMMITTED;
-  close_caller (c, 100 + random_for_callers (300));
-}
-
 static void
 handle_line (struct caller *c, char *line)
 {
--- a/tests/soak/instances.c
+++ b/tests/soak/instances.c
@@ -277,6 +277,7 @@
 {
   char a[64];
   char b[64];
+  unsigned connection;
   unsigned long proof;
   int text_at = 0;
 
@@ -284,11 +285,11 @@
     report_violation ("%s", line);
   else if (sscanf (line, "commit %*s %63s %63s", a, b) == 2)
     commit (a, b);
-  else if (sscanf (line, "%*s t%*u connection %*u ran %63s mac.%lu %n", a,
-                   &proof, &text_at)
-               == 2
+  else if (sscanf (line, "%*s t%*u connection %u ran %63s mac.%lu %n",
+                   &connection, a, &proof, &text_at)
+               == 3
            && text_at)
-    run (a, proof, line + text_at);
+    run (connection, a, proof, line + text_at);
 }
 
 /* The stand-in prints its log to group.log and has DUMP_MS for it. */
--- a/tests/soak/proofs.c
+++ b/tests/soak/proofs.c
@@ -15,6 +15,8 @@
 {
   char text[32];
   unsigned long proof;
+  /* The connection to an instance on which it ran last. */
+  unsigned connection;
 };
 
 static struct sent sent[CALLERS][STATEMENTS_MAX];
@@ -38,8 +40,22 @@
                       number, proof);
 }
 
+/* The statement before a COMMIT is of the same transaction. */
 static void
-check_run (const char *id, unsigned long proof, const char *text)
+check_commit (unsigned caller, unsigned number)
+{
+  const struct sent *s = &sent[caller][number];
+
+  if (strcmp (s->text, "COMMIT") == 0 && s->connection != s[-1].connection)
+    report_violation ("PINNED: c%u-%u COMMIT ran on connection %u, its %s on "
+                      "connection %u",
+                      caller, number, s->connection, s[-1].text,
+                      s[-1].connection);
+}
+
+static void
+check_run (unsigned connection, const char *id, unsigned long proof,
+           const char *text)
 {
   unsigned caller = CALLERS;
   unsigned number = 0;
@@ -52,7 +68,11 @@
                           ? sent[caller][number].text
                           : "nothing");
   else if (proof < RUNS_MAX)
-    ran[proof] = caller * STATEMENTS_MAX + number + 1;
+    {
+      ran[proof] = caller * STATEMENTS_MAX + number + 1;
+      sent[caller][number].connection = connection;
+      check_commit (caller, number);
+    }
 }
 
 static void
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -134,8 +134,8 @@
 
 /* A committed write, in commit order; a statement that ran. */
 typedef void commit_callback (const char *item, const char *data);
-typedef void run_callback (const char *id, unsigned long proof,
-                           const char *text);
+typedef void run_callback (unsigned connection, const char *id,
+                           unsigned long proof, const char *text);
 
 /** instances_read_log() - calls @commit and @run for the entries of the
  * group's log; false if it was not read completely */
