--- a/tests/soak/instances.c
+++ b/tests/soak/instances.c
@@ -194,8 +194,8 @@
   int i = operator_primary ();
   unsigned promotions = random_below (4);
   unsigned orders = random_below (4);
-  unsigned cut_ms = 1000 + random_below (5000);
-  unsigned down_ms = 300 + random_below (3000);
+  unsigned cut_ms = 2000 + random_below (6000);
+  unsigned down_ms = 500 + random_below (5000);
   unsigned other = random_below (INSTANCES);
   bool stops = random_below (3) == 0;
   bool cuts_other = random_below (2);
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -284,10 +284,13 @@
 void
 proxy_cut_control (unsigned instance, unsigned ms)
 {
+  int64_t until = now_ms () + ms;
+
   pthread_mutex_lock (&lock);
   for (size_t i = 0; i < listener_count; i++)
-    if (listeners[i].dest_port == PORT_GROUP + instance)
-      listeners[i].control_blocked_until = now_ms () + ms;
+    if (listeners[i].dest_port == PORT_GROUP + instance
+        && listeners[i].control_blocked_until < until)
+      listeners[i].control_blocked_until = until;
   pthread_mutex_unlock (&lock);
   log_event ("instance t%u: control hosts cut off for %u ms", instance + 1,
              ms);
