Stand-in group: a demoted primary does not count as a replica of its own commits

After a DEMOTE there is no primary, and the log of the former one was counted: commits that no other instance had were acknowledged.

--- a/tests/standin/group.h
+++ b/tests/standin/group.h
@@ -101,7 +101,8 @@
 bool is_primary (int instance);
 /* Sends the last commit to all instances that receive. */
 void replicate (void);
-bool is_replicated (uint64_t commit_number);
+/* Whether an instance other than the one that committed it has the commit. */
+bool is_replicated (int instance, uint64_t commit_number);
 /* Commits the writes of a connection.  Return: the number of the commit, 0 if
    there was nothing to write. */
 uint64_t commit_writes (struct connection *c);
--- a/tests/standin/group_log.c
+++ b/tests/standin/group_log.c
@@ -41,10 +41,10 @@
 }
 
 bool
-is_replicated (uint64_t commit_number)
+is_replicated (int instance, uint64_t commit_number)
 {
   for (int i = 0; i < instance_count; i++)
-    if (i != primary && instances[i].up
+    if (i != instance && instances[i].up
         && instances[i].received >= commit_number)
       return true;
   return false;
--- a/tests/standin/group_statements.c
+++ b/tests/standin/group_statements.c
@@ -143,7 +143,7 @@
 {
   uint64_t number = commit_writes (c);
 
-  if (!number || is_replicated (number))
+  if (!number || is_replicated (c->instance, number))
     {
       complete_with_proof (c, proof);
       return;
@@ -157,7 +157,8 @@
 {
   for (int i = 0; i < CONNECTIONS; i++)
     if (connections[i].fd >= 0 && connections[i].awaited_commit
-        && is_replicated (connections[i].awaited_commit))
+        && is_replicated (connections[i].instance,
+                          connections[i].awaited_commit))
       {
         connections[i].awaited_commit = 0;
         complete_with_proof (&connections[i], connections[i].awaited_proof);
