Soak: a replica restarts while a promotion is outstanding

A restart ends a pause, so the replica acknowledges commits of a primary that only the control hosts can't reach, while the promotion of another is late.

--- a/tests/soak/instances.c
+++ b/tests/soak/instances.c
@@ -159,10 +159,11 @@
   log_event ("instance t%u: replication cut for %u ms", i + 1, ms);
 }
 
-/* Stops an instance, after it drained if @drains.  At most one instance is
-   down at a time. */
+/* Stops an instance after @wait_ms, or after it drained.  At most one instance
+   is down at a time. */
 static void
-stop_instance (unsigned i, bool drains, unsigned down_ms, unsigned silent_ms)
+stop_instance (unsigned i, bool drains, unsigned wait_ms, unsigned down_ms,
+               unsigned silent_ms)
 {
   struct instance *in = &instances[i];
 
@@ -170,11 +171,12 @@
     if (instances[k].down || instances[k].stop_at)
       return;
   in->draining = drains;
-  in->stop_at = now_ms () + (drains ? DRAIN_MS : 1);
+  in->stop_at = now_ms () + (drains ? DRAIN_MS : wait_ms);
   in->restart_at = in->stop_at + down_ms;
   in->silent_until = in->restart_at + silent_ms;
-  log_event ("instance t%u %s", i + 1,
-             drains ? "drains, then stops" : "stops");
+  log_event ("instance t%u %s %lld ms", i + 1,
+             drains ? "drains, stops in" : "stops in",
+             (long long)(in->stop_at - now_ms ()));
 }
 
 static void
@@ -187,7 +189,8 @@
 }
 
 /* Cuts the control hosts off from the primary, or stops it, while promotion
-   requests and orders take effect late and a replica may be cut off. */
+   requests and orders take effect late.  A replica may be cut off, or restart,
+   which ends its pause. */
 static void
 disturb_failover (void)
 {
@@ -198,7 +201,9 @@
   unsigned down_ms = 500 + random_below (5000);
   unsigned other = random_below (INSTANCES);
   bool stops = random_below (3) == 0;
-  bool cuts_other = random_below (2);
+  bool cuts_other = random_below (3) == 0;
+  unsigned restart_in_ms = 500 + random_below (4000);
+  unsigned restart_ms = 100 + random_below (600);
 
   if (i < 0)
     return;
@@ -206,10 +211,12 @@
              i + 1, promotions, orders);
   send_command ("late", promotions, 0);
   send_command ("late-orders", orders, 0);
-  if (cuts_other && other != (unsigned)i)
+  if (other != (unsigned)i && cuts_other)
     cut_replication (other, cut_ms / 2);
+  else if (other != (unsigned)i && !stops)
+    stop_instance (other, false, restart_in_ms, restart_ms, 0);
   if (stops)
-    stop_instance ((unsigned)i, false, down_ms, 0);
+    stop_instance ((unsigned)i, false, 0, down_ms, 0);
   else
     proxy_cut_control ((unsigned)i, cut_ms);
 }
@@ -227,7 +234,7 @@
   if (kind < 2)
     cut_replication (i, ms);
   else if (kind < 4)
-    stop_instance (i, drains, ms, silent_ms);
+    stop_instance (i, drains, 0, ms, silent_ms);
   else if (kind < 6)
     stutter (percent, ms / 2, ms);
   else
