A second greeting is no failure of the instance

Cause: a READY line alone on an open connection, as an instance sends that answers STARTUP twice, counted as a malformed reply and a failed connection; the host then opened none to the instance for 100 ms and more.

--- a/tests/unit/replies_twice.c
+++ b/tests/unit/replies_twice.c
@@ -400,6 +400,21 @@
   assert_true (is_closed (peer));
 }
 
+static void
+a_second_greeting_is_no_failure_of_the_instance (void **state)
+{
+  int peer = write_first ();
+
+  (void)state;
+  ask (&world.a, VERB_WRITE);
+  expect (peer, "WRITE");
+  answer (peer, "READY I 1.1\r\n");
+  await_reply (&world.a);
+  assert_int_equal (world.a.code, REPLY_UNKNOWN);
+  ask (&world.b, VERB_WRITE);
+  assert_true (try_accept (SETTLE_POLLS) >= 0);
+}
+
 /* What became of the statements of a control connection. */
 struct probe
 {
@@ -591,6 +606,7 @@
     TEST (a_second_error_is_not_the_result_of_another_write),
     TEST (a_second_error_does_not_repeat_a_write_of_a_transaction),
     TEST (a_reply_with_two_results_is_nobodys_answer),
+    TEST (a_second_greeting_is_no_failure_of_the_instance),
     TEST (a_second_status_does_not_show_a_pause),
   };
 
