Failing test: a refusal that comes twice sends a write a third time

A write that an instance refuses as BUSY is sent again on the same connection. A second reply to the first attempt fits the retry, because an error carries no proof; the retry counts as refused and the write is sent once more, while the instance runs the second. After the first reply that shows it, the instance is known to answer twice and its connections serve one user.

--- a/tests/unit/replies_twice.c
+++ b/tests/unit/replies_twice.c
@@ -386,6 +386,41 @@
   assert_false (sends_more (peer));
 }
 
+/* Whether a line comes on @peer, or on a new connection after its greeting. */
+static bool
+sent_on_any (int peer)
+{
+  char line[LINE_BYTES];
+  int other = -1;
+
+  for (int i = 0; i < POLLS_MAX && other < 0; i++)
+    {
+      if (receive_line (peer, line, 1))
+        return true;
+      other = try_accept (1);
+    }
+  if (other < 0)
+    return false;
+  expect (other, "STARTUP");
+  answer (other, "READY I 1.2\r\n");
+  return receive_line (other, line, POLLS_MAX);
+}
+
+/* The instance is not known to answer twice yet. */
+static void
+a_first_second_error_does_not_repeat_a_write (void **state)
+{
+  int peer = write_first ();
+
+  (void)state;
+  ask (&world.a, VERB_WRITE);
+  expect (peer, "WRITE");
+  answer (peer, "ERROR BUSY later\r\nREADY I 1.2\r\n");
+  assert_true (sent_on_any (peer));
+  answer (peer, "ERROR BUSY later\r\nREADY I 1.2\r\n");
+  assert_false (sent_on_any (peer));
+}
+
 static void
 a_reply_with_two_results_is_nobodys_answer (void **state)
 {
@@ -591,6 +626,7 @@
     TEST (a_write_is_not_sent_after_the_late_reply_to_an_earlier_begin),
     TEST (a_second_error_is_not_the_result_of_another_write),
     TEST (a_second_error_does_not_repeat_a_write_of_a_transaction),
+    TEST (a_first_second_error_does_not_repeat_a_write),
     TEST (a_reply_with_two_results_is_nobodys_answer),
     TEST (a_second_status_does_not_show_a_pause),
   };
