Failing test: a replica that returns without its log is taken for the one that had it

An instance may start again under its id and hold nothing. keep_departure() keeps the earlier run as a departure only if it led or has left. A replica that had the only other copy of a commit therefore counts as known and paused with its empty log, and the primary's is the one log that may be missing.

--- a/tests/unit/failover_lost_commit.c
+++ b/tests/unit/failover_lost_commit.c
@@ -335,6 +335,27 @@
       0);
 }
 
+static bool
+run_when_a_replica_returns_without_its_log (uint64_t seed)
+{
+  start (seed);
+  wf_cut_replication (2, true);
+  wf_run (10 * STEP_US);
+  wf_restart_empty (1);
+  wf_kill (0);
+  wf_run (4 * FAILOVER_MAX_US);
+  return end (seed);
+}
+
+static void
+no_commit_is_lost_when_a_replica_returns_without_its_log (void **state)
+{
+  (void)state;
+  assert_int_equal (
+      seeds_failed_up_to (SEEDS, run_when_a_replica_returns_without_its_log),
+      0);
+}
+
 int
 main (void)
 {
@@ -350,7 +371,8 @@
     cmocka_unit_test (
         no_commit_is_lost_when_a_primary_returns_without_its_log),
     cmocka_unit_test (
-        no_commit_is_lost_when_a_promoted_primary_has_not_reported)
+        no_commit_is_lost_when_a_promoted_primary_has_not_reported),
+    cmocka_unit_test (no_commit_is_lost_when_a_replica_returns_without_its_log)
   };
 
   cfs_log_open ("test", getenv ("TRACE") ? CFS_INFO : CFS_ERR);
