Reports of hosts on acknowledgements are looked up by host and service

Cause: a linear search over all reports for each host and service, in each tick.

A host without an open failover looks up nothing.

--- a/src/process/ack_lease.c
+++ b/src/process/ack_lease.c
@@ -24,12 +24,20 @@
    failover record with a log index. */
 struct ack_stop
 {
-  char host[CFS_NAME_MAX];
   char service[CFS_NAME_MAX];
   uint64_t index;
   struct cfs_position highest;
 };
 
+/* What a host has reported, in the order of services. */
+struct host_stops
+{
+  char host[CFS_NAME_MAX];
+  struct ack_stop *items;
+  size_t count;
+  size_t cap;
+};
+
 bool
 cfs_ack_lease_valid (const struct cfs_fleet *f, const char *service,
                      const char *target, int64_t now)
@@ -78,12 +86,12 @@
   for (size_t i = 0; i < f->failovers.count && count < max; i++)
     {
       const struct cfs_failover *failover = cfs_table_at (&f->failovers, i);
-      const struct passed_ack *ack
-          = cfs_table_find (&a->services, failover->service);
+      const struct passed_ack *ack;
       Cfs__AckStop *stop = &out[count];
 
       if (!failover->open)
         continue;
+      ack = cfs_table_find (&a->services, failover->service);
       cfs__ack_stop__init (stop);
       stop->service = (char *)failover->service;
       stop->changed = failover->changed;
@@ -94,43 +102,54 @@
   return count;
 }
 
+void
+cfs_ack_stops_init (struct cfs_ack_stops *s)
+{
+  cfs_table_init (&s->hosts, sizeof (struct host_stops));
+}
+
 void
 cfs_ack_stops_clear (struct cfs_ack_stops *s)
 {
-  s->count = 0;
+  for (size_t i = 0; i < s->hosts.count; i++)
+    ((struct host_stops *)cfs_table_at (&s->hosts, i))->count = 0;
 }
 
 void
 cfs_ack_stops_end (struct cfs_ack_stops *s)
 {
-  free (s->items);
+  for (size_t i = 0; i < s->hosts.count; i++)
+    free (((struct host_stops *)cfs_table_at (&s->hosts, i))->items);
+  cfs_table_end (&s->hosts);
 }
 
-static void
-remove_host (struct cfs_ack_stops *s, const char *host)
+static int
+compare_services (const void *a, const void *b)
 {
-  for (size_t i = s->count; i > 0; i--)
-    if (strcmp (s->items[i - 1].host, host) == 0)
-      s->items[i - 1] = s->items[--s->count];
+  return strcmp (((const struct ack_stop *)a)->service,
+                 ((const struct ack_stop *)b)->service);
 }
 
 void
 cfs_ack_stops_record (struct cfs_ack_stops *s, const char *host,
                       const Cfs__AckStop *const *reports, size_t count)
 {
-  remove_host (s, host);
+  struct host_stops *h = cfs_table_add (&s->hosts, host);
+
+  h->count = 0;
   for (size_t i = 0; i < count; i++)
     {
       struct ack_stop *stop;
 
-      cfs_grow (&s->items, &s->cap, s->count, sizeof *s->items);
-      stop = &s->items[s->count++];
-      cfs_copy (stop->host, sizeof stop->host, host);
+      cfs_grow (&h->items, &h->cap, h->count, sizeof *h->items);
+      stop = &h->items[h->count++];
       cfs_copy (stop->service, sizeof stop->service, reports[i]->service);
       stop->index = reports[i]->changed;
       stop->highest.term = reports[i]->term;
       stop->highest.number = reports[i]->number;
     }
+  if (h->count)
+    qsort (h->items, h->count, sizeof *h->items, compare_services);
 }
 
 bool
@@ -138,16 +157,18 @@
                     const char *service, uint64_t since_index,
                     struct cfs_position *highest)
 {
-  for (size_t i = 0; i < s->count; i++)
-    {
-      const struct ack_stop *stop = &s->items[i];
+  const struct host_stops *h = cfs_table_find (&s->hosts, host);
+  struct ack_stop key;
+  const struct ack_stop *stop;
 
-      if (strcmp (stop->host, host) != 0
-          || strcmp (stop->service, service) != 0 || stop->index < since_index)
-        continue;
-      if (cfs_position_compare (&stop->highest, highest) > 0)
-        *highest = stop->highest;
-      return true;
-    }
-  return false;
+  if (!h || !h->count)
+    return false;
+  cfs_copy (key.service, sizeof key.service, service);
+  stop
+      = bsearch (&key, h->items, h->count, sizeof *h->items, compare_services);
+  if (!stop || stop->index < since_index)
+    return false;
+  if (cfs_position_compare (&stop->highest, highest) > 0)
+    *highest = stop->highest;
+  return true;
 }
--- a/src/process/ack_lease.h
+++ b/src/process/ack_lease.h
@@ -73,16 +73,17 @@
 
 /**
  * struct cfs_ack_stops - what hosts have reported to the control leader
- * @items: unordered
+ * @hosts: reports by host
  */
 struct cfs_ack_stops
 {
-  struct ack_stop *items;
-  size_t count;
-  size_t cap;
+  struct cfs_table hosts;
 };
 
-/** cfs_ack_stops_clear() - forgets all reports; zeroed memory has none */
+/** cfs_ack_stops_init() - starts without reports */
+void cfs_ack_stops_init (struct cfs_ack_stops *stops);
+
+/** cfs_ack_stops_clear() - forgets all reports */
 void cfs_ack_stops_clear (struct cfs_ack_stops *stops);
 
 /** cfs_ack_stops_end() - frees the reports */
--- a/src/process/leader.c
+++ b/src/process/leader.c
@@ -361,6 +361,7 @@
   cfs_table_init (&l->samples, sizeof (struct primary_sample));
   cfs_evacuations_init (&l->evacuations);
   cfs_shares_init (&l->shares);
+  cfs_ack_stops_init (&l->ack_stops);
   return l;
 }
 
