Tests of the proofs by logs run without the positions that hosts report

Cause: what hosts report since they hold acknowledgement leases bounds a promotion as well, and hid in the model what failover_departed, failover_unknown, foreign_reports and two cases of failover_random are to show: five mutants of the older mechanisms passed.

Change: wf_withhold_positions() lets hosts report none, as after a restart; these tests use it.

--- a/tests/unit/failover_departed.c
+++ b/tests/unit/failover_departed.c
@@ -41,6 +41,7 @@
 start_with_a_draining_former_primary (void)
 {
   wf_start (4);
+  wf_withhold_positions ();
   wf_run (3 * CFS_US_PER_S);
   wf_drain (0);
   wf_run (PLANNED_US);
@@ -177,6 +178,7 @@
 {
   (void)state;
   wf_start (4);
+  wf_withhold_positions ();
   wf_run (3 * CFS_US_PER_S);
   wf_cut_replication (1, true);
   wf_run (CFS_US_PER_S);
@@ -197,6 +199,7 @@
 {
   (void)state;
   wf_start (4);
+  wf_withhold_positions ();
   wf_run (3 * CFS_US_PER_S);
   wf_cut_from_leader (1, true);
   wf_drop (1);
@@ -218,6 +221,7 @@
 {
   (void)state;
   wf_start (4);
+  wf_withhold_positions ();
   wf_run (3 * CFS_US_PER_S);
   wf_exit (1);
   wf_drop (1);
@@ -236,6 +240,7 @@
 {
   (void)state;
   wf_start (4);
+  wf_withhold_positions ();
   wf_run (3 * CFS_US_PER_S);
   wf_unregister (2);
   wf_cut_replication (1, true);
@@ -258,6 +263,7 @@
 
   (void)state;
   wf_start (4);
+  wf_withhold_positions ();
   wf_run (5 * CFS_US_PER_S);
   wf_change_leader ();
   wf_run (5 * CFS_US_PER_S);
@@ -279,6 +285,7 @@
 {
   (void)state;
   wf_start (4);
+  wf_withhold_positions ();
   wf_run (3 * CFS_US_PER_S);
   wf_kill (1);
   wf_drop (1);
@@ -300,6 +307,7 @@
 {
   (void)state;
   wf_start (4);
+  wf_withhold_positions ();
   wf_run (3 * CFS_US_PER_S);
   leave (2, "t3");
   assert_true (wf_leave ("t1", 0));
--- a/tests/unit/failover_random.c
+++ b/tests/unit/failover_random.c
@@ -62,6 +62,7 @@
 {
   (void)state;
   wf_start (4);
+  wf_withhold_positions ();
   wf_run (5 * CFS_US_PER_S);
   wf_cut (1, true);
   wf_kill (0);
@@ -99,6 +100,7 @@
   int b;
 
   wf_start (seed);
+  wf_withhold_positions ();
   wf_run (5 * CFS_US_PER_S);
   wf_hold_promotions (true);
   wf_kill (0);
--- a/tests/unit/failover_unknown.c
+++ b/tests/unit/failover_unknown.c
@@ -19,6 +19,7 @@
   const char *violation;
 
   wf_start (seed);
+  wf_withhold_positions ();
   wf_run (3 * CFS_US_PER_S);
   wf_unregister (2);
   wf_drain (0);
--- a/tests/unit/foreign_reports.c
+++ b/tests/unit/foreign_reports.c
@@ -40,6 +40,7 @@
 start_with_a_replica_behind (void)
 {
   wf_start (4);
+  wf_withhold_positions ();
   wf_run (3 * CFS_US_PER_S);
   wf_cut_replication (2, true);
   wf_run (CFS_US_PER_S);
@@ -108,6 +109,7 @@
 
   (void)state;
   wf_start (4);
+  wf_withhold_positions ();
   targets = &wf_state ()->targets;
   assert_int_equal (wf_report (&next, true), REPORT_CURRENT);
   known = cfs_table_find (targets, "t2");
@@ -132,6 +134,7 @@
 
   (void)state;
   wf_start (4);
+  wf_withhold_positions ();
   assert_int_equal (wf_report (&other, true), REPORT_CURRENT);
   assert_true (wf_leave ("t9", 2));
   report.sequence = 7;
@@ -149,6 +152,7 @@
 
   (void)state;
   wf_start (4);
+  wf_withhold_positions ();
   wf_run (CFS_US_PER_S);
   assert_true (wf_leave ("t2", 0));
   assert_int_equal (wf_report (&t, true), REPORT_CURRENT);
@@ -169,6 +173,7 @@
 
   (void)state;
   wf_start (4);
+  wf_withhold_positions ();
   known = cfs_table_find (&wf_state ()->targets, "t2");
   assert_true (wf_leave ("t2", 4));
   assert_true (known->gone);
@@ -225,6 +230,7 @@
 
   (void)state;
   wf_start (4);
+  wf_withhold_positions ();
   wf_run (3 * CFS_US_PER_S);
   s = wf_state ();
   cfs_copy (t.address, sizeof t.address, "10.0.0.9:1");
@@ -252,6 +258,7 @@
 
   (void)state;
   wf_start (4);
+  wf_withhold_positions ();
   assert_int_equal (wf_report (&t, false), REPORT_FOREIGN);
   assert_null (cfs_table_find (&wf_state ()->targets, "agent-7"));
   t.sequence = 2;
@@ -271,6 +278,7 @@
 
   (void)state;
   wf_start (4);
+  wf_withhold_positions ();
   t.sequence = 2;
   t.draining = true;
   assert_int_equal (wf_report (&t, false), REPORT_CURRENT);
--- a/tests/world/failover.h
+++ b/tests/world/failover.h
@@ -122,6 +122,11 @@
  */
 void wf_cut_host (unsigned host, bool cut);
 
+/** wf_withhold_positions() - lets hosts report no positions of
+ * acknowledgements, so that nothing but the logs shows what was acknowledged
+ */
+void wf_withhold_positions (void);
+
 /** wf_acknowledged() - returns the highest acknowledged position */
 uint64_t wf_acknowledged (void);
 
--- a/tests/world/failover_hosts.c
+++ b/tests/world/failover_hosts.c
@@ -209,6 +209,12 @@
     wf_world->hosts[i].reported_at = 0;
 }
 
+void
+wf_withhold_positions (void)
+{
+  wf_world->positions_withheld = true;
+}
+
 bool
 wf_acks_stopped (void *ctx, const char *service, uint64_t since_index,
                  int64_t since, struct cfs_position *highest)
@@ -229,7 +235,7 @@
       heard = heard || h->reported_at >= opened_at;
       if (!h->reported_at || h->reported.stopped_index < since_index)
         stopped = stopped && wf_world->now - since > ACK_LEASE_WAIT_US;
-      if (h->reported_at
+      if (h->reported_at && !wf_world->positions_withheld
           && cfs_position_compare (&h->reported.highest, highest) > 0)
         *highest = h->reported.highest;
     }
--- a/tests/world/failover_int.h
+++ b/tests/world/failover_int.h
@@ -221,6 +221,7 @@
  * @allowed: the only instance whose region the routes allow
  * @hold_promotions: promotion requests get no result and wait for
  * wf_carry_out()
+ * @positions_withheld: hosts report no positions, as if each had started again
  * @demoted: primary that was demoted last, at @demoted_at; what it sent before
  * arrives some time later
  * @heartbeats: receives the heartbeats of the hosts
@@ -244,6 +245,7 @@
   bool faults;
   unsigned allowed;
   bool hold_promotions;
+  bool positions_withheld;
   struct instance *demoted;
   int64_t demoted_at;
   struct cfs_state state;
