Review: case 7, a planned stop cuts an answer that is being sent

Cause: the stop of a front ends when it has no session any more, and a session is closed when its answer is in the buffer of its connection; the process exits before the buffer is sent.

No change to the program.

--- a/review/stand-2/kit.c
+++ b/review/stand-2/kit.c
@@ -202,7 +202,7 @@
 }
 
 static pid_t
-spawn (const char *name, char *const argv[], const char *settings)
+spawn (const char *name, char *const argv[], const char *settings, int in)
 {
   char log[192];
   pid_t pid = fork ();
@@ -222,6 +222,8 @@
   out = open (log, O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2 (out, STDOUT_FILENO);
   dup2 (out, STDERR_FILENO);
+  if (in >= 0)
+    dup2 (in, STDIN_FILENO);
   signal (SIGPIPE, SIG_DFL);
   signal (SIGTERM, SIG_DFL);
   signal (SIGINT, SIG_DFL);
@@ -232,9 +234,67 @@
 }
 
 pid_t
-kit_spawn (const char *name, char *const argv[])
+kit_instances_start (const char *name, unsigned n, unsigned controls,
+                     int *input)
+{
+  char binary[] = "review/bin/instances";
+  char service[] = "db";
+  char addresses[9][32];
+  char *argv[12] = { binary, service };
+  int pipes[2];
+  pid_t pid;
+
+  if (access (binary, X_OK) != 0)
+    kit_give_up ("%s is not built", binary);
+  for (unsigned i = 0; i <= controls && i < 9; i++)
+    {
+      snprintf (addresses[i], sizeof addresses[i], "%s",
+                kit_address (i ? i : n));
+      argv[2 + i] = addresses[i];
+    }
+  if (pipe2 (pipes, O_CLOEXEC) != 0)
+    kit_give_up ("no pipe");
+  pid = spawn (name, argv, NULL, pipes[0]);
+  close (pipes[0]);
+  *input = pipes[1];
+  return pid;
+}
+
+void
+kit_command (int input, const char *format, ...)
 {
-  return spawn (name, argv, NULL);
+  char line[64];
+  va_list args;
+  int n;
+
+  va_start (args, format);
+  n = vsnprintf (line, sizeof line - 1, format, args);
+  va_end (args);
+  line[n++] = '\n';
+  if (write (input, line, (size_t)n) != n)
+    kit_give_up ("the stand-in takes no command");
+}
+
+unsigned
+kit_copy_log (const char *name, const char *word)
+{
+  char path[192];
+  char line[512];
+  unsigned count = 0;
+  FILE *f;
+
+  snprintf (path, sizeof path, "%s/%s.log", folder, name);
+  f = fopen (path, "r");
+  while (f && fgets (line, sizeof line, f))
+    if (strstr (line, word))
+      {
+        line[strcspn (line, "\n")] = '\0';
+        kit_record ("%s: %s", name, line);
+        count++;
+      }
+  if (f)
+    fclose (f);
+  return count;
 }
 
 void
@@ -298,7 +358,7 @@
                kit_address (m->number), READY_PORT);
     }
   fclose (f);
-  return spawn (name, argv, settings);
+  return spawn (name, argv, settings, -1);
 }
 
 void
@@ -319,6 +379,14 @@
   m->core = m->front = 0;
 }
 
+static bool small_windows;
+
+void
+kit_small_windows (bool on)
+{
+  small_windows = on;
+}
+
 static bool
 wait_for (int fd, short events, int64_t until)
 {
@@ -339,6 +407,14 @@
   int on = 1;
 
   inet_pton (AF_INET, address, &sa.sin_addr);
+  if (small_windows)
+    {
+      int bytes = 16 << 10;
+      int mss = 1460;
+
+      setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+      setsockopt (fd, IPPROTO_TCP, TCP_MAXSEG, &mss, sizeof mss);
+    }
   if (connect (fd, (struct sockaddr *)&sa, sizeof sa) != 0
       && (errno != EINPROGRESS || !wait_for (fd, POLLOUT, until)
           || getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0
@@ -441,11 +517,19 @@
 kit_control (unsigned machine, const char *method, const char *path,
              const char *content, char *body, size_t size)
 {
-  static char text[1 << 16];
+  return kit_control_at (kit_address (machine), method, path, content, body,
+                         size);
+}
+
+int
+kit_control_at (const char *first, const char *method, const char *path,
+                const char *content, char *body, size_t size)
+{
+  static _Thread_local char text[1 << 16];
   char address[32];
   int status = 0;
 
-  snprintf (address, sizeof address, "%s", kit_address (machine));
+  snprintf (address, sizeof address, "%s", first);
   for (int hop = 0; hop < 3; hop++)
     {
       const char *to;
@@ -579,3 +663,24 @@
         }
     }
 }
+
+void
+kit_await_service (unsigned machine, const char *database, const char *key)
+{
+  int64_t until = kit_now_ms () + 20000;
+  char result[64] = "";
+
+  while (strncmp (result, "COMPLETE ", 9) != 0)
+    {
+      struct session s;
+
+      if (kit_now_ms () > until)
+        kit_give_up ("machine %u does not serve: %s", machine, result);
+      kit_sleep_ms (100);
+      if (!kit_is_ready (machine)
+          || !kit_session_open (&s, kit_address (machine), database, key))
+        continue;
+      kit_query (&s, "0", "READ x", result, NULL, NULL, sizeof result, 2000);
+      kit_session_close (&s);
+    }
+}
--- a/review/stand-2/kit.h
+++ b/review/stand-2/kit.h
@@ -46,8 +46,16 @@
 void kit_give_up (const char *format, ...)
     __attribute__ ((format (printf, 1, 2), noreturn));
 
-/* Starts a program of review/bin; its output goes to NAME.log. */
-pid_t kit_spawn (const char *name, char *const argv[]);
+/* Starts the stand-in review/bin/instances for a service, at machine address
+   @n; its output goes to NAME.log.  Sets @input to where commands go. */
+pid_t kit_instances_start (const char *name, unsigned n, unsigned controls,
+                           int *input);
+/* Sends a command line to a stand-in. */
+void kit_command (int input, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+/* Copies the lines of NAME.log that contain @word to record.txt.  Returns how
+   many there are. */
+unsigned kit_copy_log (const char *name, const char *word);
 void kit_kill (pid_t pid, int signal);
 
 /* A machine that runs the role front, and with a disk also core. */
@@ -77,6 +85,9 @@
 /* The same at the control address of a machine; follows a 307 twice. */
 int kit_control (unsigned machine, const char *method, const char *path,
                  const char *content, char *body, size_t size);
+/* The same at an address. */
+int kit_control_at (const char *address, const char *method, const char *path,
+                    const char *content, char *body, size_t size);
 /* Sends a configuration to one machine after the other until it is
    acknowledged.  Returns the machine that did, or -1 after @timeout_ms. */
 int kit_configure (const unsigned *machines, size_t count,
@@ -92,6 +103,11 @@
   size_t len;
 };
 
+/* Waits until a front is ready and a read by a new session succeeds there. */
+void kit_await_service (unsigned machine, const char *database,
+                        const char *key);
+/* Makes further sessions ones with a small window, as over a slow link. */
+void kit_small_windows (bool small);
 /* Connects and sends STARTUP.  Returns whether READY came in time. */
 bool kit_session_open (struct session *s, const char *address,
                        const char *database, const char *key);
