Control: log each change of the members, and the time without a leader

Change: the leader logs each change of the membership with the voters before and after it, the silent members, and how many lost disks the new group bears. A host that has had no leader for 3 s logs how many pre-votes it got and how many it needs, every 10 s. The changes go through four functions instead of copies of the same three lines; what the group does is as before.

--- a/src/process/control.c
+++ b/src/process/control.c
@@ -175,6 +175,14 @@
   return cfs_state_serialize (&c->state, data);
 }
 
+static void
+report_change (void *ctx, const struct cfs_raft_change *change)
+{
+  const struct cfs_control *c = ctx;
+
+  control_members_log_change (change, cfs_raft_term (c->raft));
+}
+
 static uint64_t
 propose (void *ctx, const uint8_t *data, size_t len)
 {
@@ -200,8 +208,8 @@
 }
 
 static const struct cfs_raft_ops raft_ops
-    = { save_vote, append, truncate_log, save_snapshot,
-        send_raft, apply,  restore,      encode_snapshot };
+    = { save_vote, append,  truncate_log,    save_snapshot, send_raft,
+        apply,     restore, encode_snapshot, report_change };
 
 static const struct cfs_leader_ops leader_ops = { propose };
 
@@ -553,6 +561,7 @@
   control_fleet_tick (c, confirmed, now);
   control_notify_tick (c, confirmed);
   log_role_change (c);
+  control_members_log_election (&c->members_log, c->raft, now);
 }
 
 bool
--- a/src/process/control_int.h
+++ b/src/process/control_int.h
@@ -7,6 +7,7 @@
 
 #include "control.h"
 #include "control_load.h"
+#include "control_members.h"
 #include "disk.h"
 #include "leader.h"
 #include "net.h"
@@ -111,6 +112,7 @@
   bool storage_failed;
   enum cfs_raft_role logged_role;
   struct control_load load;
+  struct control_members_log members_log;
   struct fleet_state fleet;
   struct control_notify notify;
 };
--- a/src/process/raft.c
+++ b/src/process/raft.c
@@ -52,11 +52,7 @@
 size_t
 raft_majority (const struct cfs_raft *r)
 {
-  size_t voters = 0;
-
-  for (size_t i = 0; i < r->members.count; i++)
-    voters += r->members.at[i].voter;
-  return voters / 2 + 1;
+  return raft_count_voters (&r->members) / 2 + 1;
 }
 
 void
@@ -357,6 +353,18 @@
   return &r->members;
 }
 
+struct cfs_raft_election
+cfs_raft_election (const struct cfs_raft *r)
+{
+  struct cfs_raft_election e = { .heard_at = r->heard_at,
+                                 .voters = raft_count_voters (&r->members),
+                                 .granted = r->last_granted,
+                                 .needed = raft_majority (r),
+                                 .is_voter = raft_is_voter (r, r->id) };
+
+  return e;
+}
+
 const char *
 cfs_raft_leader (const struct cfs_raft *r)
 {
--- a/src/process/raft.h
+++ b/src/process/raft.h
@@ -106,6 +106,60 @@
 
 struct cfs_raft;
 
+/**
+ * enum cfs_raft_change_kind - what a change of the membership does
+ * @CFS_RAFT_LEARNER_ADDED: a host joins
+ * @CFS_RAFT_LEARNER_REMOVED: a learner is silent
+ * @CFS_RAFT_LEARNER_PROMOTED: a learner becomes a voter
+ * @CFS_RAFT_DISK_LOST: the earlier identity of a host that joins again is
+ * removed
+ * @CFS_RAFT_VOTER_REMOVED: one voter more than desired is removed
+ */
+enum cfs_raft_change_kind
+{
+  CFS_RAFT_LEARNER_ADDED,
+  CFS_RAFT_LEARNER_REMOVED,
+  CFS_RAFT_LEARNER_PROMOTED,
+  CFS_RAFT_DISK_LOST,
+  CFS_RAFT_VOTER_REMOVED
+};
+
+/**
+ * struct cfs_raft_change - change of the membership, as the leader proposes it
+ * @host: host that it is about
+ * @before: members before it
+ * @after: members after it
+ * @silent_us: time since each member of @before last answered an append, 0
+ * for this host
+ */
+struct cfs_raft_change
+{
+  enum cfs_raft_change_kind kind;
+  const char *host;
+  const struct cfs_raft_membership *before;
+  const struct cfs_raft_membership *after;
+  const int64_t *silent_us;
+};
+
+/**
+ * struct cfs_raft_election - what this host knows about the election of a
+ * leader
+ * @heard_at: time of the last append or snapshot of a leader
+ * @voters: number of voters in the members that this host knows
+ * @granted: number of them that granted a pre-vote in the last round that
+ * this host asked for, itself included
+ * @needed: number of pre-votes that start an election
+ * @is_voter: whether this host may stand for election
+ */
+struct cfs_raft_election
+{
+  int64_t heard_at;
+  size_t voters;
+  size_t granted;
+  size_t needed;
+  bool is_voter;
+};
+
 /**
  * struct cfs_raft_ops - callbacks for storage, network and state machine
  * @save_vote: stores term and vote; durable when it returns CFS_OK
@@ -119,6 +173,8 @@
  * @apply: applies a committed command; called once for each, in log order
  * @restore: replaces the state machine by a serialized state
  * @serialize: serializes the state machine into memory that the caller frees
+ * @report_change: reports a change of the membership before it is appended;
+ * may be NULL
  *
  * If another storage callback returns anything but CFS_OK, the log in memory
  * stays as it was before the call.
@@ -134,6 +190,7 @@
   void (*apply) (void *ctx, const struct cfs_raft_entry *entry);
   void (*restore) (void *ctx, const uint8_t *data, size_t len);
   size_t (*serialize) (void *ctx, uint8_t **data);
+  void (*report_change) (void *ctx, const struct cfs_raft_change *change);
 };
 
 enum cfs_raft_role
@@ -248,6 +305,9 @@
 const struct cfs_raft_membership *
 cfs_raft_members (const struct cfs_raft *raft);
 
+/** cfs_raft_election() - state of the election of a leader */
+struct cfs_raft_election cfs_raft_election (const struct cfs_raft *raft);
+
 /** cfs_raft_leader() - host name of the leader, "" if none is known */
 const char *cfs_raft_leader (const struct cfs_raft *raft);
 
--- a/src/process/raft_int.h
+++ b/src/process/raft_int.h
@@ -77,6 +77,7 @@
  * this time
  * @term_start_index: index of the leader's first entry in its term
  * @seed: state of the random number generator
+ * @last_granted: number of voters that granted a pre-vote in the last round
  * @surplus_voters_since: since when the group has had too many voters, or 0
  */
 struct cfs_raft
@@ -107,6 +108,7 @@
   uint64_t term_start_index;
   uint64_t seed;
   bool manages_voters;
+  size_t last_granted;
   int64_t surplus_voters_since;
 };
 
@@ -123,6 +125,9 @@
 /** raft_is_voter() - whether @id is a voter of the group */
 bool raft_is_voter (const struct cfs_raft *raft, uint64_t id);
 
+/** raft_count_voters() - number of voters among members */
+size_t raft_count_voters (const struct cfs_raft_membership *members);
+
 /** raft_majority() - number of voters that form a majority */
 size_t raft_majority (const struct cfs_raft *raft);
 
--- a/src/process/raft_member.c
+++ b/src/process/raft_member.c
@@ -27,6 +27,16 @@
   return NULL;
 }
 
+size_t
+raft_count_voters (const struct cfs_raft_membership *members)
+{
+  size_t voters = 0;
+
+  for (size_t i = 0; i < members->count; i++)
+    voters += members->at[i].voter;
+  return voters;
+}
+
 bool
 raft_unpack_members (const struct cfs_raft_entry *e,
                      struct cfs_raft_membership *out)
@@ -136,16 +146,73 @@
     }
 }
 
-static int
-change_members (struct cfs_raft *r, const struct cfs_raft_membership *next,
+static void
+report_change (struct cfs_raft *r, enum cfs_raft_change_kind kind,
+               const char *host, const struct cfs_raft_membership *next,
+               int64_t now)
+{
+  int64_t silent_us[RAFT_MEMBERS_MAX];
+  struct cfs_raft_change change = { .kind = kind,
+                                    .host = host,
+                                    .before = &r->members,
+                                    .after = next,
+                                    .silent_us = silent_us };
+
+  if (!r->ops->report_change)
+    return;
+  for (size_t i = 0; i < r->members.count; i++)
+    silent_us[i] = r->peers[i].id == r->id ? 0 : now - r->peers[i].acked_at;
+  r->ops->report_change (r->ctx, &change);
+}
+
+/* Appends a members entry for a change that concerns @host. */
+static void
+change_members (struct cfs_raft *r, enum cfs_raft_change_kind kind,
+                const char *host, const struct cfs_raft_membership *next,
                 int64_t now)
 {
   uint8_t *data;
   size_t len = raft_pack_members (next, &data);
-  int rc = raft_append_members (r, data, len, now);
 
+  report_change (r, kind, host, next, now);
+  raft_append_members (r, data, len, now);
   free (data);
-  return rc;
+}
+
+/* Removes the member at position i. */
+static void
+remove_member (struct cfs_raft *r, size_t i, enum cfs_raft_change_kind kind,
+               int64_t now)
+{
+  struct cfs_raft_membership next = r->members;
+
+  next.at[i] = next.at[next.count - 1];
+  next.count--;
+  change_members (r, kind, r->members.at[i].host, &next, now);
+}
+
+static void
+add_learner (struct cfs_raft *r, uint64_t id, const char *host, int64_t now)
+{
+  struct cfs_raft_membership next = r->members;
+  struct cfs_raft_member *added = &next.at[next.count];
+
+  if (next.count == RAFT_MEMBERS_MAX)
+    return;
+  added->id = id;
+  added->voter = false;
+  cfs_copy (added->host, CFS_NAME_MAX, host);
+  next.count++;
+  change_members (r, CFS_RAFT_LEARNER_ADDED, added->host, &next, now);
+}
+
+static void
+promote_learner (struct cfs_raft *r, size_t i, int64_t now)
+{
+  struct cfs_raft_membership next = r->members;
+
+  next.at[i].voter = true;
+  change_members (r, CFS_RAFT_LEARNER_PROMOTED, next.at[i].host, &next, now);
 }
 
 static bool
@@ -199,32 +266,21 @@
 void
 raft_on_join (struct cfs_raft *r, const Cfs__RaftMsg *m, int64_t now)
 {
-  struct cfs_raft_membership next = r->members;
-  size_t i;
+  size_t i = 0;
 
   if (r->role != RAFT_LEADER)
     forward_join (r, m);
   if (!can_change_members (r) || raft_find_member (r, m->from))
     return;
-  for (i = 0; i < next.count; i++)
-    if (strcmp (next.at[i].host, m->host) == 0)
-      break;
-  if (i == next.count ? learner_is_catching_up (r)
-                      : next.at[i].voter && has_learner (r))
-    return;
-  if (i < next.count)
-    {
-      next.at[i] = next.at[next.count - 1];
-      next.count--;
-    }
-  else if (next.count < RAFT_MEMBERS_MAX)
+  while (i < r->members.count && strcmp (r->members.at[i].host, m->host) != 0)
+    i++;
+  if (i == r->members.count)
     {
-      next.at[next.count].id = m->from;
-      next.at[next.count].voter = false;
-      cfs_copy (next.at[next.count].host, CFS_NAME_MAX, m->host);
-      next.count++;
+      if (!learner_is_catching_up (r))
+        add_learner (r, m->from, m->host, now);
     }
-  change_members (r, &next, now);
+  else if (!r->members.at[i].voter || !has_learner (r))
+    remove_member (r, i, CFS_RAFT_DISK_LOST, now);
 }
 
 static bool
@@ -263,16 +319,6 @@
   return i;
 }
 
-static size_t
-count_voters (const struct cfs_raft *r)
-{
-  size_t voters = 0;
-
-  for (size_t i = 0; i < r->members.count; i++)
-    voters += r->members.at[i].voter;
-  return voters;
-}
-
 static size_t
 desired_voters (const struct cfs_raft *r, int64_t now)
 {
@@ -284,16 +330,6 @@
                                    : RAFT_VOTERS_SMALL_GROUP;
 }
 
-static void
-remove_member (struct cfs_raft *r, size_t i, int64_t now)
-{
-  struct cfs_raft_membership next = r->members;
-
-  next.at[i] = next.at[next.count - 1];
-  next.count--;
-  change_members (r, &next, now);
-}
-
 /* Position of the voter to remove from a group that has too many: one that is
    unreachable or about to stop or, once the surplus has lasted for
    RAFT_LEARNER_SILENT_US, the last one other than the leader.  The number of
@@ -316,38 +352,48 @@
   return last;
 }
 
+/* Position of a learner that has been silent for so long that it is removed,
+   or the number of members if there is none. */
+static size_t
+find_silent_learner (const struct cfs_raft *r, int64_t now)
+{
+  size_t i = 0;
+
+  while (i < r->members.count
+         && (r->members.at[i].voter
+             || !is_silent (r, i, RAFT_LEARNER_SILENT_US, now)))
+    i++;
+  return i;
+}
+
 static void
 maintain_voters (struct cfs_raft *r, size_t learner, int64_t now)
 {
-  size_t voters = count_voters (r);
+  size_t none = r->members.count;
+  size_t voters = raft_count_voters (&r->members);
   size_t wanted = desired_voters (r, now);
-  bool fails = find_replaceable_voter (r, now) < r->members.count;
-  size_t i;
+  bool fails = find_replaceable_voter (r, now) < none;
+  size_t surplus;
+  size_t silent;
 
   if (voters <= wanted)
     r->surplus_voters_since = 0;
-  if (learner < r->members.count
-      && (voters < wanted || (voters == wanted && fails)))
+  if (learner < none && (voters < wanted || (voters == wanted && fails)))
     {
-      struct cfs_raft_membership next = r->members;
-
-      next.at[learner].voter = true;
-      change_members (r, &next, now);
+      promote_learner (r, learner, now);
       return;
     }
-  i = voters > wanted ? find_surplus_voter (r, now) : r->members.count;
-  for (size_t j = 0; i == r->members.count && j < r->members.count; j++)
-    if (!r->members.at[j].voter
-        && is_silent (r, j, RAFT_LEARNER_SILENT_US, now))
-      i = j;
-  if (i < r->members.count)
-    remove_member (r, i, now);
+  surplus = voters > wanted ? find_surplus_voter (r, now) : none;
+  silent = find_silent_learner (r, now);
+  if (surplus < none)
+    remove_member (r, surplus, CFS_RAFT_VOTER_REMOVED, now);
+  else if (silent < none)
+    remove_member (r, silent, CFS_RAFT_LEARNER_REMOVED, now);
 }
 
 void
 raft_maintain_members (struct cfs_raft *r, int64_t now)
 {
-  struct cfs_raft_membership next = r->members;
   size_t learner;
 
   if (!can_change_members (r))
@@ -356,10 +402,7 @@
   if (r->manages_voters)
     maintain_voters (r, learner, now);
   else if (learner < r->members.count)
-    {
-      next.at[learner].voter = true;
-      change_members (r, &next, now);
-    }
+    promote_learner (r, learner, now);
 }
 
 void
@@ -380,7 +423,8 @@
 
   (void)now;
   if (!self || !self->voter
-      || (!has_learner (r) && count_voters (r) <= RAFT_VOTERS_SMALL_GROUP))
+      || (!has_learner (r)
+          && raft_count_voters (&r->members) <= RAFT_VOTERS_SMALL_GROUP))
     return false;
   p->leaving = true;
   raft_init_msg (r, &m, MSG_LEAVE, r->leader);
--- a/src/process/raft_vote.c
+++ b/src/process/raft_vote.c
@@ -33,14 +33,20 @@
     }
 }
 
-static bool
-has_won (const struct cfs_raft *r)
+static size_t
+count_granted (const struct cfs_raft *r)
 {
   size_t count = 0;
 
   for (size_t i = 0; i < r->members.count; i++)
     count += r->members.at[i].voter && r->peers[i].vote_granted;
-  return count >= raft_majority (r);
+  return count;
+}
+
+static bool
+has_won (const struct cfs_raft *r)
+{
+  return count_granted (r) >= raft_majority (r);
 }
 
 static void
@@ -61,6 +67,8 @@
 void
 raft_start_prevote (struct cfs_raft *r, int64_t now)
 {
+  if (r->role == RAFT_PRECANDIDATE)
+    r->last_granted = count_granted (r);
   r->role = RAFT_PRECANDIDATE;
   r->leader = 0;
   r->election_due_at
--- a/tests/unit/members.c
+++ b/tests/unit/members.c
@@ -201,8 +201,8 @@
 }
 
 static const struct cfs_raft_ops ops
-    = { save_vote,    append, truncate_log, save_snapshot,
-        send_message, apply,  restore,      serialize };
+    = { save_vote, append,  truncate_log, save_snapshot, send_message,
+        apply,     restore, serialize,    NULL };
 
 static void
 set_initial_members (struct cfs_raft_membership *list)
--- a/tests/world/control.c
+++ b/tests/world/control.c
@@ -196,8 +196,8 @@
 }
 
 static const struct cfs_raft_ops raft_ops
-    = { save_vote, append, truncate_log, save_snapshot,
-        send_raft, apply,  restore,      serialize };
+    = { save_vote, append,  truncate_log, save_snapshot, send_raft,
+        apply,     restore, serialize,    NULL };
 static const struct cfs_leader_ops leader_ops = { propose };
 
 static void
