--- a/src/process/raft_int.h
+++ b/src/process/raft_int.h
@@ -1,6 +1,6 @@
 /**
  * DOC: Internals of the replicated log, shared by raft.c, raft_lead.c,
- * raft_follow.c, raft_vote.c and raft_member.c.
+ * raft_follow.c, raft_vote.c, raft_member.c and raft_voters.c.
  */
 #ifndef CFS_RAFT_INT_H
 #define CFS_RAFT_INT_H
@@ -240,6 +240,21 @@
 void raft_on_join (struct cfs_raft *raft, const Cfs__RaftMsg *msg,
                    int64_t now);
 
+/** raft_can_change_members() - whether this host is a leader whose last change
+ * of the membership is committed */
+bool raft_can_change_members (const struct cfs_raft *raft);
+
+/** raft_has_learner() - whether a member is a learner */
+bool raft_has_learner (const struct cfs_raft *raft);
+
+/** raft_remove_member() - proposes to remove the member at position @i */
+void raft_remove_member (struct cfs_raft *raft, size_t i,
+                         enum cfs_raft_change_kind kind, int64_t now);
+
+/** raft_promote_learner() - proposes to make the learner at position @i a
+ * voter */
+void raft_promote_learner (struct cfs_raft *raft, size_t i, int64_t now);
+
 /** raft_on_leave() - marks a voter as about to stop */
 void raft_on_leave (struct cfs_raft *raft, const Cfs__RaftMsg *msg);
 
