Raft: silent members do not make the group smaller

Callers saw: with two of six control hosts without power for 7 s and the disks of two others lost near the end, the control group had no leader for good, although all six hosts ran.

Cause: the desired number of voters followed from the members that answer now. 5 s after two of six were silent, it went from five to three and the leader removed a silent voter. Four voters bear one lost disk, not two.

A silent voter is still replaced by a learner. The group grows only for members that answer, since a replaced host counted beside its successor. A planned stop does not wait for a replacement that cannot come.

Why it works: with 2f + 1 voters each committed entry is on f + 1 disks, and any f lost disks leave f + 1 voters once the others are back.

--- a/src/process/control.c
+++ b/src/process/control.c
@@ -489,6 +489,7 @@
   randombytes_buf (&new_id, sizeof new_id);
   randombytes_buf (&initial.seed, sizeof initial.seed);
   initial.manages_voters = settings->uses_seeds;
+  initial.lost_disks = settings->lost_disks;
   control_fleet_init (c);
   control_notify_init (&c->notify);
   if (prepare_folder (settings, error))
--- a/src/process/disk.c
+++ b/src/process/disk.c
@@ -160,6 +160,7 @@
 
   m.index = s->index;
   m.log_term = s->term;
+  m.min_voters = (uint32_t)s->members.min_voters;
   m.snapshot.data = s->data;
   m.snapshot.len = s->len;
   for (size_t i = 0; i < s->members.count; i++)
@@ -187,6 +188,7 @@
 {
   s->index = m->index;
   s->term = m->log_term;
+  s->members.min_voters = m->min_voters;
   s->len = m->snapshot.len;
   s->data = cfs_alloc (s->len);
   if (s->len)
--- a/src/process/raft.c
+++ b/src/process/raft.c
@@ -219,6 +219,9 @@
   r->applied_index = r->snapshot.index;
   r->seed = initial->seed ? initial->seed : 1;
   r->manages_voters = initial->manages_voters;
+  r->lost_disks = initial->lost_disks < RAFT_LOST_DISKS_MAX
+                      ? initial->lost_disks
+                      : RAFT_LOST_DISKS_MAX;
   r->clock = now;
   r->heard_at = now;
   raft_restore_members (r);
--- a/src/process/raft.h
+++ b/src/process/raft.h
@@ -39,11 +39,13 @@
    join again.  Also the time for which a group has too many voters before one
    that works is removed. */
 #define RAFT_LEARNER_SILENT_US (5 * CFS_US_PER_S)
-/* Desired number of voters if the group manages them: of a group with fewer
-   than RAFT_LARGE_GROUP live members, and of a larger one. */
+/* Number of voters that a group which manages them grows to: with fewer than
+   RAFT_LARGE_GROUP live members, and with more. */
 #define RAFT_VOTERS_SMALL_GROUP 3
 #define RAFT_VOTERS_LARGE_GROUP 5
 #define RAFT_LARGE_GROUP 5
+/* Number of lost disks that a group is set up to bear at most. */
+#define RAFT_LOST_DISKS_MAX 7
 /* Entries that a member has not confirmed are sent again after this time. */
 #define RAFT_RESEND_US (2 * RAFT_HEARTBEAT_US)
 /* Maximum number of entries in one append message. */
@@ -87,11 +89,16 @@
 
 #define RAFT_MEMBERS_MAX 16
 
-/** struct cfs_raft_membership - members of the group */
+/**
+ * struct cfs_raft_membership - members of the group
+ * @min_voters: number of voters below which the group is not reduced because
+ * members are silent; 0 if unknown
+ */
 struct cfs_raft_membership
 {
   struct cfs_raft_member at[RAFT_MEMBERS_MAX];
   size_t count;
+  size_t min_voters;
 };
 
 /** struct cfs_raft_snapshot - serialized state machine after entry @index */
@@ -203,11 +210,12 @@
 
 /**
  * struct cfs_raft_initial_state - durable state and options for a new instance
- * @manages_voters: the leader keeps the number of voters at
- * RAFT_VOTERS_SMALL_GROUP or RAFT_VOTERS_LARGE_GROUP and replaces unreachable
- * voters by learners that have caught up; if false, every learner that has
- * caught up becomes a voter, and a member is removed only when its host joins
- * under a new id
+ * @manages_voters: the leader chooses the number of voters, see raft_voters.c,
+ * and replaces unreachable voters by learners that have caught up; if false,
+ * every learner that has caught up becomes a voter, and a member is removed
+ * only when its host joins under a new id
+ * @lost_disks: number of disks that may be lost at once, of which
+ * RAFT_LOST_DISKS_MAX count, or 0 if unknown
  * @id: identity of this member
  * @term: current term
  * @vote: id of the candidate voted for in @term, or of the leader followed in
@@ -220,6 +228,7 @@
 struct cfs_raft_initial_state
 {
   bool manages_voters;
+  unsigned lost_disks;
   uint64_t id;
   uint64_t term;
   uint64_t vote;
@@ -284,7 +293,7 @@
  *
  * To be called repeatedly, since the request may be lost.
  * Return: whether the caller should wait: true while this host is a voter and
- * the group has a learner or more than RAFT_VOTERS_SMALL_GROUP voters.
+ * the group has a learner or more voters than it has to keep.
  */
 bool cfs_raft_leave (struct cfs_raft *raft, int64_t now);
 
--- a/src/process/raft_int.h
+++ b/src/process/raft_int.h
@@ -108,6 +108,7 @@
   uint64_t term_start_index;
   uint64_t seed;
   bool manages_voters;
+  unsigned lost_disks;
   size_t last_granted;
   int64_t surplus_voters_since;
 };
@@ -247,13 +248,23 @@
 /** raft_has_learner() - whether a member is a learner */
 bool raft_has_learner (const struct cfs_raft *raft);
 
+/** raft_silence() - time since the member at position @i last answered an
+ * append of this leader, 0 for the leader itself */
+int64_t raft_silence (const struct cfs_raft *raft, size_t i, int64_t now);
+
+/** raft_is_silent() - whether the member at position @i, if it is not this
+ * leader, has not answered an append for longer than @bound */
+bool raft_is_silent (const struct cfs_raft *raft, size_t i, int64_t bound,
+                     int64_t now);
+
 /** raft_remove_member() - proposes to remove the member at position @i */
 void raft_remove_member (struct cfs_raft *raft, size_t i,
                          enum cfs_raft_change_kind kind, int64_t now);
 
 /** raft_promote_learner() - proposes to make the learner at position @i a
- * voter */
-void raft_promote_learner (struct cfs_raft *raft, size_t i, int64_t now);
+ * voter of a group that is to keep at least @min_voters */
+void raft_promote_learner (struct cfs_raft *raft, size_t i, size_t min_voters,
+                           int64_t now);
 
 /** raft_on_leave() - marks a voter as about to stop */
 void raft_on_leave (struct cfs_raft *raft, const Cfs__RaftMsg *msg);
--- a/src/process/raft_lead.c
+++ b/src/process/raft_lead.c
@@ -193,6 +193,7 @@
 {
   r->role = RAFT_LEADER;
   r->leader = r->id;
+  r->surplus_voters_since = 0;
   for (size_t i = 0; i < r->members.count; i++)
     {
       r->peers[i].next_index = raft_last_index (r) + 1;
--- a/src/process/raft_member.c
+++ b/src/process/raft_member.c
@@ -50,6 +50,7 @@
       return false;
     }
   out->count = m->n_member;
+  out->min_voters = m->min_voters;
   for (size_t i = 0; i < m->n_member; i++)
     {
       out->at[i].id = m->member[i]->id;
@@ -77,6 +78,7 @@
       list[i] = &packed[i];
     }
   m.n_member = in->count;
+  m.min_voters = (uint32_t)in->min_voters;
   m.member = list;
   len = cfs__members__get_packed_size (&m);
   *data = cfs_alloc (len);
@@ -84,6 +86,16 @@
   return len;
 }
 
+/* Smallest number of voters of a membership that does not say it: a log of an
+   earlier version, or the first members. */
+static size_t
+infer_min_voters (const struct cfs_raft_membership *members)
+{
+  return raft_count_voters (members) > RAFT_VOTERS_SMALL_GROUP
+             ? RAFT_VOTERS_LARGE_GROUP
+             : RAFT_VOTERS_SMALL_GROUP;
+}
+
 /* Replaces the membership; members that stay keep their progress.  The
    silence of a new member counts from now. */
 static void
@@ -108,6 +120,8 @@
     }
   memcpy (r->peers, kept, members->count * sizeof kept[0]);
   r->members = *members;
+  if (!r->members.min_voters)
+    r->members.min_voters = infer_min_voters (members);
   r->members_index = index;
 }
 
@@ -161,7 +175,7 @@
   if (!r->ops->report_change)
     return;
   for (size_t i = 0; i < r->members.count; i++)
-    silent_us[i] = r->peers[i].id == r->id ? 0 : now - r->peers[i].acked_at;
+    silent_us[i] = raft_silence (r, i, now);
   r->ops->report_change (r->ctx, &change);
 }
 
@@ -206,11 +220,13 @@
 }
 
 void
-raft_promote_learner (struct cfs_raft *r, size_t i, int64_t now)
+raft_promote_learner (struct cfs_raft *r, size_t i, size_t min_voters,
+                      int64_t now)
 {
   struct cfs_raft_membership next = r->members;
 
   next.at[i].voter = true;
+  next.min_voters = min_voters;
   change_members (r, CFS_RAFT_LEARNER_PROMOTED, next.at[i].host, &next, now);
 }
 
@@ -221,18 +237,9 @@
          && r->members_index <= r->commit_index;
 }
 
-bool
-raft_has_learner (const struct cfs_raft *r)
-{
-  for (size_t i = 0; i < r->members.count; i++)
-    if (!r->members.at[i].voter)
-      return true;
-  return false;
-}
-
-/* Whether a learner still has to catch up.  If the group manages its voters,
-   a learner within RAFT_BATCH entries of the commit index may stay one; if it
-   does not, every learner is on its way to become a voter. */
+/* Whether a learner still has to catch up.  If the group manages
+   its voters, a learner within RAFT_BATCH entries of the commit index may stay
+   one; if it does not, every learner is on its way to become a voter. */
 static bool
 learner_is_catching_up (const struct cfs_raft *r)
 {
@@ -245,7 +252,8 @@
 }
 
 /* A joining host may know followers only: these forward its request to the
-   leader.  round marks a forwarded request, which is not forwarded again. */
+   leader.  round marks a forwarded request, which is
+   not forwarded again. */
 static void
 forward_join (const struct cfs_raft *r, const Cfs__RaftMsg *m)
 {
--- a/src/process/raft_voters.c
+++ b/src/process/raft_voters.c
@@ -1,13 +1,32 @@
 /*
  * Voters: promotion of learners, replacement of voters that are silent or
  * stop, and the number of voters.
+ *
+ * A group that has to bear f lost disks needs 2f + 1 voters.  Then any f of
+ * them may lose their disks while any others are down: each committed entry is
+ * on f + 1 disks, of which one is left, and once the others are back, f + 1
+ * voters are left, a majority that can elect it.  A voter that is down keeps
+ * its disk, so it may be replaced by a learner, which keeps the number, but
+ * not removed because it is silent: that would spend a loss which can still
+ * come.  A voter whose host joins with an empty disk has spent its loss; until
+ * the host votes again, 2f - 1 voters suffice.
+ *
+ * f is a setting.  Without it, a group that had RAFT_LARGE_GROUP live members
+ * once keeps RAFT_VOTERS_LARGE_GROUP voters; the members entries hold that
+ * number, so that all leaders agree on it.
  */
 #include "raft_int.h"
 
-static bool
-is_silent (const struct cfs_raft *r, size_t i, int64_t bound, int64_t now)
+int64_t
+raft_silence (const struct cfs_raft *r, size_t i, int64_t now)
+{
+  return r->peers[i].id == r->id ? 0 : now - r->peers[i].acked_at;
+}
+
+bool
+raft_is_silent (const struct cfs_raft *r, size_t i, int64_t bound, int64_t now)
 {
-  return r->peers[i].id != r->id && now - r->peers[i].acked_at > bound;
+  return raft_silence (r, i, now) > bound;
 }
 
 /* Position of a learner that has caught up and is reachable, or the number of
@@ -20,35 +39,81 @@
   while (i < r->members.count
          && (r->members.at[i].voter
              || r->peers[i].match_index < r->commit_index
-             || is_silent (r, i, RAFT_ELECTION_US, now)))
+             || raft_is_silent (r, i, RAFT_ELECTION_US, now)))
     i++;
   return i;
 }
 
-/* Position of a voter that is unreachable or about to stop, or the number of
-   members if there is none. */
+/* Whether a voter is unreachable or about to stop. */
+static bool
+is_replaceable (const struct cfs_raft *r, size_t i, int64_t now)
+{
+  const struct raft_peer *p = &r->peers[i];
+
+  return r->members.at[i].voter
+         && (raft_is_silent (r, i, RAFT_VOTER_SILENT_US, now) || p->leaving);
+}
+
+/* Position of a replaceable voter, or the number of members if there is none.
+ */
 static size_t
 find_replaceable_voter (const struct cfs_raft *r, int64_t now)
 {
   size_t i = 0;
 
-  while (i < r->members.count
-         && (!r->members.at[i].voter
-             || !(r->peers[i].leaving
-                  || is_silent (r, i, RAFT_VOTER_SILENT_US, now))))
+  while (i < r->members.count && !is_replaceable (r, i, now))
     i++;
   return i;
 }
 
+/* Number of voters below which the group is not reduced. */
 static size_t
-desired_voters (const struct cfs_raft *r, int64_t now)
+required_voters (const struct cfs_raft *r)
+{
+  return r->lost_disks ? 2 * r->lost_disks + 1 : r->members.min_voters;
+}
+
+static size_t
+count_live (const struct cfs_raft *r, int64_t bound, int64_t now)
+{
+  size_t live = 0;
+
+  for (size_t i = 0; i < r->members.count; i++)
+    live += !raft_is_silent (r, i, bound, now);
+  return live;
+}
+
+/* Members that answer this leader now. */
+static size_t
+count_answering (const struct cfs_raft *r, int64_t now)
 {
-  size_t alive = 0;
+  size_t answering = 0;
 
   for (size_t i = 0; i < r->members.count; i++)
-    alive += !is_silent (r, i, RAFT_LEARNER_SILENT_US, now);
-  return alive >= RAFT_LARGE_GROUP ? RAFT_VOTERS_LARGE_GROUP
-                                   : RAFT_VOTERS_SMALL_GROUP;
+    answering += (r->peers[i].id == r->id || r->peers[i].match_index > 0)
+                 && !raft_is_silent (r, i, RAFT_ELECTION_US, now);
+  return answering;
+}
+
+/* Whether the group has RAFT_LARGE_GROUP members.  It grows only for members
+   that answer, since a host that was replaced counts beside its successor for
+   a while otherwise. */
+static bool
+is_large (const struct cfs_raft *r, int64_t now)
+{
+  if (raft_count_voters (&r->members) > RAFT_VOTERS_SMALL_GROUP
+      && count_live (r, RAFT_LEARNER_SILENT_US, now) >= RAFT_LARGE_GROUP)
+    return true;
+  return count_answering (r, now) >= RAFT_LARGE_GROUP;
+}
+
+static size_t
+desired_voters (const struct cfs_raft *r, int64_t now)
+{
+  size_t by_size
+      = is_large (r, now) ? RAFT_VOTERS_LARGE_GROUP : RAFT_VOTERS_SMALL_GROUP;
+
+  return by_size > required_voters (r) ? by_size : required_voters (r);
 }
 
 /* Position of the voter to remove from a group that has too many: one that is
@@ -82,7 +147,7 @@
 
   while (i < r->members.count
          && (r->members.at[i].voter
-             || !is_silent (r, i, RAFT_LEARNER_SILENT_US, now)))
+             || !raft_is_silent (r, i, RAFT_LEARNER_SILENT_US, now)))
     i++;
   return i;
 }
@@ -101,7 +166,8 @@
     r->surplus_voters_since = 0;
   if (learner < none && (voters < wanted || (voters == wanted && fails)))
     {
-      raft_promote_learner (r, learner, now);
+      raft_promote_learner (r, learner,
+                            r->lost_disks ? required_voters (r) : wanted, now);
       return;
     }
   surplus = voters > wanted ? find_surplus_voter (r, now) : none;
@@ -123,7 +189,7 @@
   if (r->manages_voters)
     maintain_voters (r, learner, now);
   else if (learner < r->members.count)
-    raft_promote_learner (r, learner, now);
+    raft_promote_learner (r, learner, r->members.min_voters, now);
 }
 
 void
@@ -135,6 +201,12 @@
     p->leaving = true;
 }
 
+bool
+raft_has_learner (const struct cfs_raft *r)
+{
+  return raft_count_voters (&r->members) < r->members.count;
+}
+
 bool
 cfs_raft_leave (struct cfs_raft *r, int64_t now)
 {
@@ -145,7 +217,7 @@
   (void)now;
   if (!self || !self->voter
       || (!raft_has_learner (r)
-          && raft_count_voters (&r->members) <= RAFT_VOTERS_SMALL_GROUP))
+          && raft_count_voters (&r->members) <= required_voters (r)))
     return false;
   p->leaving = true;
   raft_init_msg (r, &m, MSG_LEAVE, r->leader);
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -39,6 +39,8 @@
 #define SEND_STALL_DEFAULT_MS 30000
 #define PIPELINE_DEFAULT 64
 
+#define LOST_DISKS_MAX 100
+
 #define END_OF_FIELDS                                                         \
   {                                                                           \
     NULL, FIELD_BOOL, 0, 0, NULL, false, NULL                                 \
@@ -90,6 +92,7 @@
         { "control", FIELD_LIST, 0, 0, NULL, false, control_host_fields },
         { "seeds", FIELD_ANY, 0, 0, NULL, false, NULL },
         { "first_start", FIELD_BOOL, 0, 0, NULL, false, NULL },
+        { "lost_disks", FIELD_INTEGER, 0, LOST_DISKS_MAX, NULL, false, NULL },
         { "zones", FIELD_ANY, 0, 0, NULL, false, NULL },
         { "session_address", FIELD_STRING, 0, 48, NULL, false, NULL },
         { "ready_address", FIELD_STRING, 0, 48, NULL, false, NULL },
@@ -245,6 +248,7 @@
   s->uses_seeds = true;
   s->first_start
       = cJSON_IsTrue (cJSON_GetObjectItemCaseSensitive (doc, "first_start"));
+  s->lost_disks = (uint32_t)cfs_json_number (doc, "lost_disks", 0);
   s->learned_capacity = cJSON_IsTrue (
       cJSON_GetObjectItemCaseSensitive (doc, "learned_capacity"));
   cfs_copy (s->session_address, sizeof s->session_address,
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -40,6 +40,8 @@
  * only then, addresses are "IP:PORT", and control hosts are named by their IP
  * addresses
  * @first_start: this host may form the control group
+ * @lost_disks: number of control hosts whose disks may be lost at once, 0 if
+ * it is not set
  * @memory_mb: memory of the machine in MiB, of which clients may use a part
  * @max_fds: descriptors of the process, of which clients may use a part
  * @max_sessions: connections of callers, 0 to derive it from @max_fds
@@ -81,6 +83,7 @@
   size_t control_count;
   bool uses_seeds;
   bool first_start;
+  uint32_t lost_disks;
   char region[CFS_NAME_MAX];
   struct cfs_zone zones[SETTINGS_ZONES_MAX];
   size_t zone_count;
--- a/src/process/wire.pb-c.c
+++ b/src/process/wire.pb-c.c
@@ -1974,7 +1974,7 @@
   (ProtobufCMessageInit) cfs__raft_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfs__raft_msg__field_descriptors[13] =
+static const ProtobufCFieldDescriptor cfs__raft_msg__field_descriptors[14] =
 {
   {
     "type",
@@ -2132,6 +2132,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "min_voters",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__RaftMsg, min_voters),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfs__raft_msg__field_indices_by_name[] = {
   6,   /* field[6] = commit */
@@ -2141,6 +2153,7 @@
   12,   /* field[12] = host */
   4,   /* field[4] = index */
   5,   /* field[5] = log_term */
+  13,   /* field[13] = min_voters */
   7,   /* field[7] = reject */
   9,   /* field[9] = round */
   11,   /* field[11] = snapshot */
@@ -2151,7 +2164,7 @@
 static const ProtobufCIntRange cfs__raft_msg__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor cfs__raft_msg__descriptor =
 {
@@ -2161,7 +2174,7 @@
   "Cfs__RaftMsg",
   "cfs",
   sizeof(Cfs__RaftMsg),
-  13,
+  14,
   cfs__raft_msg__field_descriptors,
   cfs__raft_msg__field_indices_by_name,
   1,  cfs__raft_msg__number_ranges,
@@ -2232,7 +2245,7 @@
   (ProtobufCMessageInit) cfs__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cfs__members__field_descriptors[1] =
+static const ProtobufCFieldDescriptor cfs__members__field_descriptors[2] =
 {
   {
     "member",
@@ -2246,14 +2259,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "min_voters",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cfs__Members, min_voters),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cfs__members__field_indices_by_name[] = {
   0,   /* field[0] = member */
+  1,   /* field[1] = min_voters */
 };
 static const ProtobufCIntRange cfs__members__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor cfs__members__descriptor =
 {
@@ -2263,7 +2289,7 @@
   "Cfs__Members",
   "cfs",
   sizeof(Cfs__Members),
-  1,
+  2,
   cfs__members__field_descriptors,
   cfs__members__field_indices_by_name,
   1,  cfs__members__number_ranges,
--- a/src/process/wire.pb-c.h
+++ b/src/process/wire.pb-c.h
@@ -95,6 +95,7 @@
  * round: send time of an append or snapshot by the leader's clock, in
  * microseconds, echoed by the reply; in a join request 1 if a follower has
  * forwarded it.
+ * min_voters: in a snapshot on a disk, as in Members.
  */
 struct  Cfs__RaftMsg
 {
@@ -113,10 +114,11 @@
   Cfs__RaftEntry **entries;
   ProtobufCBinaryData snapshot;
   char *host;
+  uint32_t min_voters;
 };
 #define CFS__RAFT_MSG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfs__raft_msg__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -134,15 +136,20 @@
     , 0, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * min_voters: number of voters below which the group is not reduced; 0 in
+ * entries of versions without this field.
+ */
 struct  Cfs__Members
 {
   ProtobufCMessage base;
   size_t n_member;
   Cfs__Member **member;
+  uint32_t min_voters;
 };
 #define CFS__MEMBERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cfs__members__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0 }
 
 
 /*
--- a/tests/unit/disk.c
+++ b/tests/unit/disk.c
@@ -175,6 +175,7 @@
   (void)state;
   s.data = (uint8_t *)"image";
   s.members.count = 1;
+  s.members.min_voters = 5;
   s.members.at[0].id = 9;
   s.members.at[0].voter = true;
   cfs_copy (s.members.at[0].host, CFS_NAME_MAX, "c1");
@@ -193,6 +194,7 @@
   assert_int_equal (initial.snapshot.index, 4);
   assert_memory_equal (initial.snapshot.data, "image", 5);
   assert_string_equal (initial.snapshot.members.at[0].host, "c1");
+  assert_int_equal (initial.snapshot.members.min_voters, 5);
   assert_int_equal (initial.count, 3);
   assert_int_equal (initial.entries[0].index, 5);
   assert_int_equal (initial.term, 6);
--- a/tests/unit/members.c
+++ b/tests/unit/members.c
@@ -33,7 +33,7 @@
 static void
 a_voter_that_lost_its_disk_rejoins_after_a_replacement (void **state)
 {
-  struct world_members *w = wm_new (1);
+  struct world_members *w = wm_new (1, 0);
 
   (void)state;
   wm_run (w, 3 * CFS_US_PER_S);
@@ -55,7 +55,7 @@
 static void
 a_failed_voter_is_replaced (void **state)
 {
-  struct world_members *w = wm_new (2);
+  struct world_members *w = wm_new (2, 0);
 
   (void)state;
   wm_run (w, 3 * CFS_US_PER_S);
@@ -72,7 +72,7 @@
 static void
 a_group_of_six_has_five_voters (void **state)
 {
-  struct world_members *w = wm_new (3);
+  struct world_members *w = wm_new (3, 0);
 
   (void)state;
   for (unsigned i = WM_INITIAL_VOTERS; i < HOSTS; i++)
@@ -89,7 +89,7 @@
 static void
 a_rolling_restart_keeps_the_voters (void **state)
 {
-  struct world_members *w = wm_new (4);
+  struct world_members *w = wm_new (4, 0);
 
   (void)state;
   wm_run (w, 3 * CFS_US_PER_S);
@@ -105,13 +105,45 @@
   wm_free (w);
 }
 
+/* review/8: two hosts are down, and the voters were removed because they were
+   silent for 5 s.  Two lost disks were more than the voters left could bear.
+ */
+static void
+two_lost_disks_beside_two_silent_hosts_do_not_end_the_group (void **state)
+{
+  struct world_members *w = wm_new (11, 0);
+  unsigned hosts[4];
+
+  (void)state;
+  for (unsigned i = WM_INITIAL_VOTERS; i < HOSTS; i++)
+    wm_start (w, i);
+  wm_run (w, 6 * CFS_US_PER_S);
+  assert_int_equal (wm_voters (w), 5);
+  for (unsigned i = 0; i < 4; i++)
+    hosts[i] = ((unsigned)wm_leader (w) + i) % HOSTS;
+  wm_stop (w, hosts[1]);
+  wm_stop (w, hosts[2]);
+  wm_run (w, 6 * CFS_US_PER_S);
+  assert_int_equal (wm_voters (w), 5);
+  wm_stop (w, hosts[0]);
+  wm_stop (w, hosts[3]);
+  wm_lose_disk (w, hosts[0]);
+  wm_lose_disk (w, hosts[3]);
+  wm_run (w, CFS_US_PER_S);
+  for (unsigned i = 0; i < 4; i++)
+    wm_start (w, hosts[i]);
+  wm_run (w, REPAIR_US);
+  assert_log_advances (w);
+  wm_free (w);
+}
+
 /* Entries of 64 KB, like whole configuration documents: neither the log nor
    the messages may grow without bound. */
 static void
 large_entries_trigger_a_snapshot (void **state)
 {
   static uint8_t document[64 << 10];
-  struct world_members *w = wm_new (5);
+  struct world_members *w = wm_new (5, 0);
   size_t bytes = 0;
 
   (void)state;
@@ -140,7 +172,7 @@
 static bool
 run_seed (uint64_t seed)
 {
-  struct world_members *w = wm_new (seed);
+  struct world_members *w = wm_new (seed, 0);
   unsigned next_spare = 3;
   uint64_t before;
   bool ok;
@@ -193,6 +225,8 @@
     cmocka_unit_test (a_failed_voter_is_replaced),
     cmocka_unit_test (a_group_of_six_has_five_voters),
     cmocka_unit_test (a_rolling_restart_keeps_the_voters),
+    cmocka_unit_test (
+        two_lost_disks_beside_two_silent_hosts_do_not_end_the_group),
     cmocka_unit_test (large_entries_trigger_a_snapshot),
     cmocka_unit_test (single_failures_are_repaired_one_after_another)
   };
--- a/tests/world/members.c
+++ b/tests/world/members.c
@@ -10,6 +10,11 @@
 /* Time for which a planned stop waits for its replacement, as in core.c. */
 #define LEAVE_MAX_US (2500 * CFS_US_PER_MS)
 
+/* Member ids: that of c1 as one of the first members, which follows from its
+   name, and that of c1 if it starts with an empty disk later. */
+#define FIRST_ID 100
+#define FIRST_NEW_ID 200
+
 uint64_t
 wm_random_below (struct world_members *w, uint64_t bound)
 {
@@ -156,14 +161,15 @@
         apply,     restore, serialize,    NULL };
 
 static void
-set_initial_members (struct cfs_raft_membership *list)
+set_initial_members (const struct world_members *w,
+                     struct cfs_raft_membership *list)
 {
   list->count = WM_INITIAL_VOTERS;
   for (unsigned i = 0; i < WM_INITIAL_VOTERS; i++)
     {
-      list->at[i].id = 100 + i;
+      list->at[i].id = FIRST_ID + w->seeds[i];
       list->at[i].voter = true;
-      snprintf (list->at[i].host, CFS_NAME_MAX, "c%u", i + 1);
+      snprintf (list->at[i].host, CFS_NAME_MAX, "c%u", w->seeds[i] + 1);
     }
 }
 
@@ -172,6 +178,7 @@
 {
   struct wm_host *m = &w->hosts[i];
   struct cfs_raft_initial_state initial = { .manages_voters = true,
+                                            .lost_disks = w->lost_disks,
                                             .id = m->id,
                                             .term = m->term,
                                             .vote = m->vote,
@@ -182,7 +189,7 @@
   snprintf (name, sizeof name, "c%u", i + 1);
   copy_snapshot (&initial.snapshot, &m->snapshot);
   if (initial.snapshot.members.count == 0)
-    set_initial_members (&initial.snapshot.members);
+    set_initial_members (w, &initial.snapshot.members);
   initial.entries = cfs_alloc ((m->count + 1) * sizeof *initial.entries);
   for (size_t k = 0; k < m->count; k++)
     initial.entries[k] = copy_entry (&m->log[k]);
@@ -215,21 +222,24 @@
 }
 
 struct world_members *
-wm_new (uint64_t seed)
+wm_new (uint64_t seed, unsigned lost_disks)
 {
   struct world_members *w = cfs_alloc (sizeof *w);
 
   w->seed = seed * UINT64_C (0x9E3779B97F4A7C15) + 1;
   w->now = CFS_US_PER_S;
+  w->lost_disks = lost_disks;
   for (unsigned i = 0; i < WM_HOSTS_MAX; i++)
     {
       w->hosts[i].world = w;
       w->hosts[i].index = i;
-      w->hosts[i].id = 100 + i;
+      w->hosts[i].id = i < WM_INITIAL_VOTERS ? FIRST_ID + i : FIRST_NEW_ID + i;
     }
+  for (unsigned i = 0; i < WM_INITIAL_VOTERS; i++)
+    w->seeds[i] = i;
   for (unsigned i = 0; i < WM_INITIAL_VOTERS; i++)
     {
-      set_initial_members (&w->hosts[i].snapshot.members);
+      set_initial_members (w, &w->hosts[i].snapshot.members);
       wm_start (w, i);
     }
   return w;
--- a/tests/world/members.h
+++ b/tests/world/members.h
@@ -11,7 +11,7 @@
 #include "../../src/process/raft.h"
 
 #define WM_HOSTS_MAX 10
-/* Members of the first membership: the hosts c1 to c3. */
+/* Number of seeds, at first the hosts c1 to c3, which form the group. */
 #define WM_INITIAL_VOTERS 3
 #define WM_STEP_US (5 * CFS_US_PER_MS)
 #define WM_MESSAGES 2048
@@ -54,6 +54,8 @@
 
 /**
  * struct world_members - the simulation
+ * @seeds: hosts that a process with an empty disk knows when it starts
+ * @lost_disks: the setting of all hosts, 0 if it is not set
  * @values: committed values in their order
  * @proposed_count: number of values that were proposed
  * @violation: what broke, or NULL
@@ -63,6 +65,8 @@
   int64_t now;
   uint64_t seed;
   struct wm_host hosts[WM_HOSTS_MAX];
+  unsigned seeds[WM_INITIAL_VOTERS];
+  unsigned lost_disks;
   struct wm_message messages[WM_MESSAGES];
   size_t count;
   uint64_t values[WM_VALUES];
@@ -71,8 +75,14 @@
   const char *violation;
 };
 
-/** wm_new() - creates a world whose hosts c1 to c3 run; freed by wm_free() */
-struct world_members *wm_new (uint64_t seed);
+/**
+ * wm_new() - creates a world whose hosts c1 to c3 run
+ * @seed: seed of its random numbers
+ * @lost_disks: as in struct world_members
+ *
+ * Return: the world, to be freed by wm_free().
+ */
+struct world_members *wm_new (uint64_t seed, unsigned lost_disks);
 
 /** wm_free() - frees the world, its hosts and its messages */
 void wm_free (struct world_members *world);
