Raft: a learner that was removed while it was cut off rejoins

What operators saw: a control host stays out of the group after a cut of 5 s, until it is started again; the group bears one loss less.

Cause: a silent learner is removed after 5 s. It does not hear of that, takes itself for a member and asks nobody: it has no vote, so it sends no pre-votes either.

Change: a learner that has heard from no leader for 2 s asks to join. Leaders ignore the request of a member.

--- a/src/process/raft.c
+++ b/src/process/raft.c
@@ -251,12 +251,26 @@
     raft_flush_log (r, now);
 }
 
+/* Whether this host has to request to join.  A learner that hears from no
+   leader may have been removed without knowing it; a voter asks for pre-votes
+   then, which has the same effect. */
+static bool
+is_outside_group (const struct cfs_raft *r, int64_t now)
+{
+  const struct cfs_raft_member *self = raft_find_member (r, r->id);
+
+  if (!self)
+    return true;
+  return r->manages_voters && !self->voter
+         && now - r->heard_at > RAFT_VOTER_SILENT_US;
+}
+
 void
 cfs_raft_tick (struct cfs_raft *r, int64_t now)
 {
   r->clock = now;
   cfs_raft_flush (r, now);
-  if (!raft_find_member (r, r->id) && now >= r->next_join_at)
+  if (now >= r->next_join_at && is_outside_group (r, now))
     raft_send_join (r, now);
   if (r->role == RAFT_LEADER)
     {
--- a/tests/unit/members.c
+++ b/tests/unit/members.c
@@ -28,6 +28,21 @@
   assert_true (w->committed_count > before);
 }
 
+static const struct cfs_raft_member *
+find_member (const struct world_members *w, unsigned i)
+{
+  int l = wm_leader (w);
+  const struct cfs_raft_membership *m;
+
+  if (l < 0)
+    return NULL;
+  m = cfs_raft_members (w->hosts[l].raft);
+  for (size_t k = 0; k < m->count; k++)
+    if (m->at[k].id == w->hosts[i].id)
+      return &m->at[k];
+  return NULL;
+}
+
 /* c4 takes the place of c1, which is stopped for good; then c2 loses its disk.
    This sequence has failed before. */
 static void
@@ -137,6 +152,25 @@
   wm_free (w);
 }
 
+/* A learner that is removed while it is cut off does not hear of it. */
+static void
+a_learner_removed_while_cut_off_rejoins (void **state)
+{
+  struct world_members *w = wm_new (6, 0);
+
+  (void)state;
+  wm_start (w, 3);
+  wm_run (w, 3 * CFS_US_PER_S);
+  assert_non_null (find_member (w, 3));
+  w->hosts[3].cut = 1;
+  wm_run (w, RAFT_LEARNER_SILENT_US + CFS_US_PER_S);
+  assert_null (find_member (w, 3));
+  w->hosts[3].cut = 0;
+  wm_run (w, REPAIR_US);
+  assert_non_null (find_member (w, 3));
+  wm_free (w);
+}
+
 /* Entries of 64 KB, like whole configuration documents: neither the log nor
    the messages may grow without bound. */
 static void
@@ -227,6 +261,7 @@
     cmocka_unit_test (a_rolling_restart_keeps_the_voters),
     cmocka_unit_test (
         two_lost_disks_beside_two_silent_hosts_do_not_end_the_group),
+    cmocka_unit_test (a_learner_removed_while_cut_off_rejoins),
     cmocka_unit_test (large_entries_trigger_a_snapshot),
     cmocka_unit_test (single_failures_are_repaired_one_after_another)
   };
