Raft: followers forward a pre-vote as a join request

What operators saw: a control host that was replaced while it was down stays out of the group as long as a host leads that it does not know.

Cause: its pre-vote counts as a join request, and followers forward join requests to the leader, but the copy kept its type and receiver. The leader drops messages to others unless they are join requests.

Change: the copy is a join request to the leader.

Result: a_replaced_voter_rejoins_through_followers failed before.

--- a/src/process/raft_member.c
+++ b/src/process/raft_member.c
@@ -251,8 +251,8 @@
   return false;
 }
 
-/* A joining host may know followers only: these forward its request to the
-   leader.  round marks a forwarded request, which is
+/* A joining host may know followers only: these forward its request, also one
+   for a pre-vote, to the leader.  round marks a forwarded request, which is
    not forwarded again. */
 static void
 forward_join (const struct cfs_raft *r, const Cfs__RaftMsg *m)
@@ -262,6 +262,8 @@
 
   if (!r->manages_voters || !leader || r->leader == r->id || m->round > 0)
     return;
+  copy.type = MSG_JOIN;
+  copy.to = r->leader;
   copy.round = 1;
   r->ops->send (r->ctx, leader->host, &copy);
 }
--- a/tests/unit/members.c
+++ b/tests/unit/members.c
@@ -43,6 +43,14 @@
   return NULL;
 }
 
+static bool
+is_voter (const struct world_members *w, unsigned i)
+{
+  const struct cfs_raft_member *m = find_member (w, i);
+
+  return m && m->voter;
+}
+
 /* c4 takes the place of c1, which is stopped for good; then c2 loses its disk.
    This sequence has failed before. */
 static void
@@ -171,6 +179,46 @@
   wm_free (w);
 }
 
+/* Makes c4 the leader: stops the leader for a while until it is c4. */
+static void
+make_c4_leader (struct world_members *w)
+{
+  for (int tries = 0; tries < 50 && wm_leader (w) != 3; tries++)
+    {
+      int l = wm_leader (w);
+
+      if (l >= 0)
+        wm_stop (w, (unsigned)l);
+      wm_run (w, CFS_US_PER_S);
+      if (l >= 0)
+        wm_start (w, (unsigned)l);
+      wm_run (w, CFS_US_PER_S);
+    }
+  assert_int_equal (wm_leader (w), 3);
+}
+
+/* A host that was replaced while it was down takes itself for a voter and
+   knows only hosts that follow: they have to tell the leader. */
+static void
+a_replaced_voter_rejoins_through_followers (void **state)
+{
+  struct world_members *w = wm_new (7, 0);
+
+  (void)state;
+  wm_run (w, 3 * CFS_US_PER_S);
+  wm_stop (w, 2);
+  wm_start (w, 3);
+  wm_run (w, REPAIR_US);
+  assert_true (is_voter (w, 3));
+  make_c4_leader (w);
+  assert_null (find_member (w, 2));
+  wm_start (w, 2);
+  wm_run (w, REPAIR_US);
+  assert_int_equal (wm_leader (w), 3);
+  assert_non_null (find_member (w, 2));
+  wm_free (w);
+}
+
 /* Entries of 64 KB, like whole configuration documents: neither the log nor
    the messages may grow without bound. */
 static void
@@ -262,6 +310,7 @@
     cmocka_unit_test (
         two_lost_disks_beside_two_silent_hosts_do_not_end_the_group),
     cmocka_unit_test (a_learner_removed_while_cut_off_rejoins),
+    cmocka_unit_test (a_replaced_voter_rejoins_through_followers),
     cmocka_unit_test (large_entries_trigger_a_snapshot),
     cmocka_unit_test (single_failures_are_repaired_one_after_another)
   };
