Raft: a silent learner does not delay the repair of others

What operators saw: after a learner failed, a host with a new disk gets its vote back only once the learner is removed, 5 s later. A second lost disk in that time ends a group of three.

Cause: one repair finishes before the next, and a learner that answers nobody counted as one under way.

Result: a_silent_learner_does_not_delay_a_repair failed before: no vote 4 s after the host was back.

--- a/src/process/raft_int.h
+++ b/src/process/raft_int.h
@@ -245,9 +245,6 @@
  * of the membership is committed */
 bool raft_can_change_members (const struct cfs_raft *raft);
 
-/** raft_has_learner() - whether a member is a learner */
-bool raft_has_learner (const struct cfs_raft *raft);
-
 /** raft_silence() - time since the member at position @i last answered an
  * append of this leader, 0 for the leader itself */
 int64_t raft_silence (const struct cfs_raft *raft, size_t i, int64_t now);
--- a/src/process/raft_member.c
+++ b/src/process/raft_member.c
@@ -237,14 +237,26 @@
          && r->members_index <= r->commit_index;
 }
 
-/* Whether a learner still has to catch up.  If the group manages
+/* Whether a learner answers this leader. */
+static bool
+has_live_learner (const struct cfs_raft *r, int64_t now)
+{
+  for (size_t i = 0; i < r->members.count; i++)
+    if (!r->members.at[i].voter
+        && !raft_is_silent (r, i, RAFT_VOTER_SILENT_US, now))
+      return true;
+  return false;
+}
+
+/* Whether a learner still has to catch up and answers.  If the group manages
    its voters, a learner within RAFT_BATCH entries of the commit index may stay
    one; if it does not, every learner is on its way to become a voter. */
 static bool
-learner_is_catching_up (const struct cfs_raft *r)
+learner_is_catching_up (const struct cfs_raft *r, int64_t now)
 {
   for (size_t i = 0; i < r->members.count; i++)
     if (!r->members.at[i].voter
+        && !raft_is_silent (r, i, RAFT_VOTER_SILENT_US, now)
         && (!r->manages_voters
             || r->peers[i].match_index + RAFT_BATCH < r->commit_index))
       return true;
@@ -271,7 +283,8 @@
 /* If the host is a member under another id (it lost its disk), that member is
    removed; the next join request then adds the host as a learner.  One repair
    finishes before the next begins: no such voter is removed while a learner
-   exists, and no learner is added while one is catching up. */
+   can take its place, and no learner is added while one is catching up.  A
+   silent learner does neither. */
 void
 raft_on_join (struct cfs_raft *r, const Cfs__RaftMsg *m, int64_t now)
 {
@@ -285,9 +298,9 @@
     i++;
   if (i == r->members.count)
     {
-      if (!learner_is_catching_up (r))
+      if (!learner_is_catching_up (r, now))
         add_learner (r, m->from, m->host, now);
     }
-  else if (!r->members.at[i].voter || !raft_has_learner (r))
+  else if (!r->members.at[i].voter || !has_live_learner (r, now))
     raft_remove_member (r, i, CFS_RAFT_DISK_LOST, now);
 }
--- a/src/process/raft_voters.c
+++ b/src/process/raft_voters.c
@@ -201,8 +201,8 @@
     p->leaving = true;
 }
 
-bool
-raft_has_learner (const struct cfs_raft *r)
+static bool
+has_learner (const struct cfs_raft *r)
 {
   return raft_count_voters (&r->members) < r->members.count;
 }
@@ -216,7 +216,7 @@
 
   (void)now;
   if (!self || !self->voter
-      || (!raft_has_learner (r)
+      || (!has_learner (r)
           && raft_count_voters (&r->members) <= required_voters (r)))
     return false;
   p->leaving = true;
--- a/tests/unit/members.c
+++ b/tests/unit/members.c
@@ -219,6 +219,28 @@
   wm_free (w);
 }
 
+/* A learner that fails together with a voter's disk held up the repair of the
+   voter until it was removed. */
+static void
+a_silent_learner_does_not_delay_a_repair (void **state)
+{
+  struct world_members *w = wm_new (8, 0);
+  unsigned hit;
+
+  (void)state;
+  wm_start (w, 3);
+  wm_run (w, 3 * CFS_US_PER_S);
+  hit = ((unsigned)wm_leader (w) + 1) % WM_INITIAL_VOTERS;
+  wm_stop (w, 3);
+  wm_stop (w, hit);
+  wm_lose_disk (w, hit);
+  wm_run (w, CFS_US_PER_S / 2);
+  wm_start (w, hit);
+  wm_run (w, 4 * CFS_US_PER_S);
+  assert_true (is_voter (w, hit));
+  wm_free (w);
+}
+
 /* Entries of 64 KB, like whole configuration documents: neither the log nor
    the messages may grow without bound. */
 static void
@@ -311,6 +333,7 @@
         two_lost_disks_beside_two_silent_hosts_do_not_end_the_group),
     cmocka_unit_test (a_learner_removed_while_cut_off_rejoins),
     cmocka_unit_test (a_replaced_voter_rejoins_through_followers),
+    cmocka_unit_test (a_silent_learner_does_not_delay_a_repair),
     cmocka_unit_test (large_entries_trigger_a_snapshot),
     cmocka_unit_test (single_failures_are_repaired_one_after_another)
   };
