Raft: seeds that all lost their disks find the group

What operators saw: three seeds of seven hosts lose their disks, within a tolerance of three: none of them ever joins again, as each knows the other two only.

Cause: the leader sends appends to the earlier identities of these hosts, which drop them. Their identities are removed with the first join request, and then nobody speaks to the host any more.

Change: a host outside the group asks the leader that sent to its earlier identity. Its new identity takes the place of the earlier one with one entry, so the leader keeps its address.

--- a/src/process/control_members.c
+++ b/src/process/control_members.c
@@ -22,7 +22,7 @@
   [CFS_RAFT_LEARNER_ADDED] = "learner added",
   [CFS_RAFT_LEARNER_REMOVED] = "silent learner removed",
   [CFS_RAFT_LEARNER_PROMOTED] = "learner becomes voter",
-  [CFS_RAFT_DISK_LOST] = "member removed, its host joins with a new disk",
+  [CFS_RAFT_DISK_LOST] = "learner in place of an identity whose disk is lost",
   [CFS_RAFT_VOTER_REMOVED] = "voter removed",
 };
 
--- a/src/process/raft.c
+++ b/src/process/raft.c
@@ -293,7 +293,11 @@
 {
   r->clock = now;
   if (m->to != r->id && m->type != MSG_JOIN)
-    return;
+    {
+      if (m->type == MSG_APPEND)
+        cfs_copy (r->contact, sizeof r->contact, m->host);
+      return;
+    }
   switch (m->type)
     {
     case MSG_PREVOTE:
--- a/src/process/raft.h
+++ b/src/process/raft.h
@@ -118,8 +118,8 @@
  * @CFS_RAFT_LEARNER_ADDED: a host joins
  * @CFS_RAFT_LEARNER_REMOVED: a learner is silent
  * @CFS_RAFT_LEARNER_PROMOTED: a learner becomes a voter
- * @CFS_RAFT_DISK_LOST: the earlier identity of a host that joins again is
- * removed
+ * @CFS_RAFT_DISK_LOST: a host joins again under a new identity, as a learner
+ * in place of its earlier one
  * @CFS_RAFT_VOTER_REMOVED: one voter more than desired is removed
  */
 enum cfs_raft_change_kind
--- a/src/process/raft_int.h
+++ b/src/process/raft_int.h
@@ -77,6 +77,8 @@
  * this time
  * @term_start_index: index of the leader's first entry in its term
  * @seed: state of the random number generator
+ * @contact: leader that sent to an earlier identity of this host, or ""; it
+ * gets the join requests of this host, whose seeds may not be members
  * @last_granted: number of voters that granted a pre-vote in the last round
  * @surplus_voters_since: since when the group has had too many voters, or 0
  */
@@ -109,6 +111,7 @@
   uint64_t seed;
   bool manages_voters;
   unsigned lost_disks;
+  char contact[CFS_NAME_MAX];
   size_t last_granted;
   int64_t surplus_voters_since;
 };
@@ -234,7 +237,8 @@
  * the log, or else from the snapshot */
 void raft_restore_members (struct cfs_raft *raft);
 
-/** raft_send_join() - sends a join request to every known member */
+/** raft_send_join() - sends a join request to every known member and to the
+ * contact */
 void raft_send_join (struct cfs_raft *raft, int64_t now);
 
 /** raft_on_join() - handles the join request of a host that is no member */
--- a/src/process/raft_member.c
+++ b/src/process/raft_member.c
@@ -145,19 +145,24 @@
   set_members (r, &r->snapshot.members, r->snapshot.index);
 }
 
+static void
+send_join_to (const struct cfs_raft *r, uint64_t id, const char *host)
+{
+  Cfs__RaftMsg m;
+
+  raft_init_msg (r, &m, MSG_JOIN, id);
+  r->ops->send (r->ctx, host, &m);
+}
+
 void
 raft_send_join (struct cfs_raft *r, int64_t now)
 {
   r->next_join_at = now + RAFT_ELECTION_US;
   for (size_t i = 0; i < r->members.count; i++)
-    {
-      Cfs__RaftMsg m;
-
-      if (r->members.at[i].id == r->id)
-        continue;
-      raft_init_msg (r, &m, MSG_JOIN, r->members.at[i].id);
-      raft_send_to (r, &m);
-    }
+    if (r->members.at[i].id != r->id)
+      send_join_to (r, r->members.at[i].id, r->members.at[i].host);
+  if (*r->contact)
+    send_join_to (r, 0, r->contact);
 }
 
 static void
@@ -219,6 +224,17 @@
   change_members (r, CFS_RAFT_LEARNER_ADDED, added->host, &next, now);
 }
 
+/* Replaces the member at position i by a learner of the same host. */
+static void
+replace_identity (struct cfs_raft *r, size_t i, uint64_t id, int64_t now)
+{
+  struct cfs_raft_membership next = r->members;
+
+  next.at[i].id = id;
+  next.at[i].voter = false;
+  change_members (r, CFS_RAFT_DISK_LOST, next.at[i].host, &next, now);
+}
+
 void
 raft_promote_learner (struct cfs_raft *r, size_t i, size_t min_voters,
                       int64_t now)
@@ -281,7 +297,8 @@
 }
 
 /* If the host is a member under another id (it lost its disk), that member is
-   removed; the next join request then adds the host as a learner.  One repair
+   removed and the host added as a learner, with one entry: the host stays
+   known to the leader, which it may not find through its seeds.  One repair
    finishes before the next begins: no such voter is removed while a learner
    can take its place, and no learner is added while one is catching up.  A
    silent learner does neither. */
@@ -302,5 +319,5 @@
         add_learner (r, m->from, m->host, now);
     }
   else if (!r->members.at[i].voter || !has_live_learner (r, now))
-    raft_remove_member (r, i, CFS_RAFT_DISK_LOST, now);
+    replace_identity (r, i, m->from, now);
 }
--- a/tests/unit/members.c
+++ b/tests/unit/members.c
@@ -241,6 +241,32 @@
   wm_free (w);
 }
 
+/* All seeds have lost their disks: no host that joins knows a member. */
+static void
+seeds_that_all_lost_their_disks_rejoin (void **state)
+{
+  struct world_members *w = wm_new (9, 3);
+
+  (void)state;
+  for (unsigned i = WM_INITIAL_VOTERS; i < 7; i++)
+    wm_start (w, i);
+  wm_run (w, 6 * CFS_US_PER_S);
+  assert_int_equal (wm_voters (w), 7);
+  for (unsigned i = 0; i < WM_INITIAL_VOTERS; i++)
+    {
+      wm_stop (w, i);
+      wm_lose_disk (w, i);
+    }
+  wm_run (w, CFS_US_PER_S);
+  for (unsigned i = 0; i < WM_INITIAL_VOTERS; i++)
+    wm_start (w, i);
+  wm_run (w, 6 * CFS_US_PER_S);
+  assert_int_equal (wm_voters (w), 7);
+  for (unsigned i = 0; i < WM_INITIAL_VOTERS; i++)
+    assert_true (is_voter (w, i));
+  wm_free (w);
+}
+
 /* Entries of 64 KB, like whole configuration documents: neither the log nor
    the messages may grow without bound. */
 static void
@@ -334,6 +360,7 @@
     cmocka_unit_test (a_learner_removed_while_cut_off_rejoins),
     cmocka_unit_test (a_replaced_voter_rejoins_through_followers),
     cmocka_unit_test (a_silent_learner_does_not_delay_a_repair),
+    cmocka_unit_test (seeds_that_all_lost_their_disks_rejoin),
     cmocka_unit_test (large_entries_trigger_a_snapshot),
     cmocka_unit_test (single_failures_are_repaired_one_after_another)
   };
