Raft: a request to leave ends with the restart

What operators saw: a control host that came back from a planned stop loses its vote, and a failed one keeps its own, so the group bears one loss less.

Cause: the leader kept the mark of a leaving voter for as long as it led. A voter with the mark was replaced or removed before a silent one.

Of several voters that can be replaced, the one that has been silent for longest goes first.

--- a/src/process/raft.c
+++ b/src/process/raft.c
@@ -325,7 +325,7 @@
       raft_on_join (r, m, now);
       break;
     case MSG_LEAVE:
-      raft_on_leave (r, m);
+      raft_on_leave (r, m, now);
       break;
     default:
       break;
--- a/src/process/raft_int.h
+++ b/src/process/raft_int.h
@@ -43,7 +43,7 @@
  * may not have arrived yet
  * @sent_at: time of the last append with entries, or snapshot, to it
  * @vote_granted: it granted its (pre-)vote in the election under way
- * @leaving: it requested its replacement
+ * @left_at: when it last requested its replacement, 0 if it did not
  */
 struct raft_peer
 {
@@ -54,7 +54,7 @@
   uint64_t in_flight;
   int64_t sent_at;
   bool vote_granted;
-  bool leaving;
+  int64_t left_at;
 };
 
 /**
@@ -268,7 +268,8 @@
                            int64_t now);
 
 /** raft_on_leave() - marks a voter as about to stop */
-void raft_on_leave (struct cfs_raft *raft, const Cfs__RaftMsg *msg);
+void raft_on_leave (struct cfs_raft *raft, const Cfs__RaftMsg *msg,
+                    int64_t now);
 
 /** raft_maintain_members() - on the leader, makes at most one change of the
  * membership if one is due */
--- a/src/process/raft_voters.c
+++ b/src/process/raft_voters.c
@@ -44,26 +44,32 @@
   return i;
 }
 
-/* Whether a voter is unreachable or about to stop. */
+/* Whether a voter is unreachable or about to stop.  A request to leave is
+   repeated until the process ends; a voter that made none for a while has
+   started again. */
 static bool
 is_replaceable (const struct cfs_raft *r, size_t i, int64_t now)
 {
   const struct raft_peer *p = &r->peers[i];
 
   return r->members.at[i].voter
-         && (raft_is_silent (r, i, RAFT_VOTER_SILENT_US, now) || p->leaving);
+         && (raft_is_silent (r, i, RAFT_VOTER_SILENT_US, now)
+             || (p->left_at && now - p->left_at <= RAFT_VOTER_SILENT_US));
 }
 
-/* Position of a replaceable voter, or the number of members if there is none.
- */
+/* Position of the replaceable voter that has been silent for longest, or the
+   number of members if there is none. */
 static size_t
 find_replaceable_voter (const struct cfs_raft *r, int64_t now)
 {
-  size_t i = 0;
+  size_t found = r->members.count;
 
-  while (i < r->members.count && !is_replaceable (r, i, now))
-    i++;
-  return i;
+  for (size_t i = 0; i < r->members.count; i++)
+    if (is_replaceable (r, i, now)
+        && (found == r->members.count
+            || raft_silence (r, i, now) > raft_silence (r, found, now)))
+      found = i;
+  return found;
 }
 
 /* Number of voters below which the group is not reduced. */
@@ -193,12 +199,12 @@
 }
 
 void
-raft_on_leave (struct cfs_raft *r, const Cfs__RaftMsg *m)
+raft_on_leave (struct cfs_raft *r, const Cfs__RaftMsg *m, int64_t now)
 {
   struct raft_peer *p = raft_find_peer (r, m->from);
 
   if (p)
-    p->leaving = true;
+    p->left_at = now;
 }
 
 static bool
@@ -214,12 +220,11 @@
   struct raft_peer *p = raft_find_peer (r, r->id);
   Cfs__RaftMsg m;
 
-  (void)now;
   if (!self || !self->voter
       || (!has_learner (r)
           && raft_count_voters (&r->members) <= required_voters (r)))
     return false;
-  p->leaving = true;
+  p->left_at = now;
   raft_init_msg (r, &m, MSG_LEAVE, r->leader);
   if (r->leader && r->leader != r->id)
     raft_send_to (r, &m);
--- a/tests/unit/members.c
+++ b/tests/unit/members.c
@@ -267,6 +267,29 @@
   wm_free (w);
 }
 
+/* A request to leave outlived the restart of the host, which was replaced as
+   soon as a learner was there. */
+static void
+a_voter_back_from_a_planned_stop_keeps_its_vote (void **state)
+{
+  struct world_members *w = wm_new (10, 0);
+  unsigned stopped;
+
+  (void)state;
+  wm_start (w, 3);
+  wm_run (w, 3 * CFS_US_PER_S);
+  wm_stop (w, 3);
+  stopped = ((unsigned)wm_leader (w) + 1) % WM_INITIAL_VOTERS;
+  wm_stop_as_planned (w, stopped);
+  wm_start (w, stopped);
+  wm_run (w, 3 * CFS_US_PER_S);
+  wm_start (w, 3);
+  wm_run (w, REPAIR_US);
+  assert_non_null (find_member (w, 3));
+  assert_true (is_voter (w, stopped));
+  wm_free (w);
+}
+
 /* Entries of 64 KB, like whole configuration documents: neither the log nor
    the messages may grow without bound. */
 static void
@@ -361,6 +384,7 @@
     cmocka_unit_test (a_replaced_voter_rejoins_through_followers),
     cmocka_unit_test (a_silent_learner_does_not_delay_a_repair),
     cmocka_unit_test (seeds_that_all_lost_their_disks_rejoin),
+    cmocka_unit_test (a_voter_back_from_a_planned_stop_keeps_its_vote),
     cmocka_unit_test (large_entries_trigger_a_snapshot),
     cmocka_unit_test (single_failures_are_repaired_one_after_another)
   };
