--- a/tests/unit/members.c
+++ b/tests/unit/members.c
@@ -160,6 +160,29 @@
   wm_free (w);
 }
 
+/* With lost_disks 1, hosts that are gone for good without successors leave the
+   rest a group of three that still bears a loss. */
+static void
+a_group_that_bears_one_loss_shrinks_to_three_voters (void **state)
+{
+  struct world_members *w = wm_new (12, 1);
+
+  (void)state;
+  for (unsigned i = WM_INITIAL_VOTERS; i < HOSTS; i++)
+    wm_start (w, i);
+  wm_run (w, 6 * CFS_US_PER_S);
+  assert_int_equal (wm_voters (w), 5);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      wm_stop (w, i);
+      wm_run (w, 12 * CFS_US_PER_S);
+    }
+  assert_int_equal (wm_voters (w), 3);
+  wm_stop (w, 3);
+  assert_log_advances (w);
+  wm_free (w);
+}
+
 /* A learner that is removed while it is cut off does not hear of it. */
 static void
 a_learner_removed_while_cut_off_rejoins (void **state)
@@ -380,6 +403,7 @@
     cmocka_unit_test (a_rolling_restart_keeps_the_voters),
     cmocka_unit_test (
         two_lost_disks_beside_two_silent_hosts_do_not_end_the_group),
+    cmocka_unit_test (a_group_that_bears_one_loss_shrinks_to_three_voters),
     cmocka_unit_test (a_learner_removed_while_cut_off_rejoins),
     cmocka_unit_test (a_replaced_voter_rejoins_through_followers),
     cmocka_unit_test (a_silent_learner_does_not_delay_a_repair),
