Tests: one simulated disk for the control worlds

Cause: tests/world/control.c and tests/world/members.c held the same storage callbacks.

Change: tests/world/disk.[ch] has them; a host's disk is its first member.

--- a/tests/unit/members.c
+++ b/tests/unit/members.c
@@ -38,7 +38,7 @@
     return NULL;
   m = cfs_raft_members (w->hosts[l].raft);
   for (size_t k = 0; k < m->count; k++)
-    if (m->at[k].id == w->hosts[i].id)
+    if (m->at[k].id == w->hosts[i].disk.id)
       return &m->at[k];
   return NULL;
 }
@@ -337,8 +337,8 @@
         w->proposed_count++;
       wm_run (w, 50 * CFS_US_PER_MS);
     }
-  for (size_t i = 0; i < w->hosts[0].count; i++)
-    bytes += w->hosts[0].log[i].len;
+  for (size_t i = 0; i < w->hosts[0].disk.count; i++)
+    bytes += w->hosts[0].disk.entries[i].len;
   assert_true (w->committed_count > 150);
   assert_true (bytes <= 2 * RAFT_SNAPSHOT_BYTES);
   assert_null (w->violation);
--- a/tests/unit/members_losses.c
+++ b/tests/unit/members_losses.c
@@ -318,7 +318,7 @@
 has_intact_disk (const struct trial *t, uint64_t id)
 {
   for (unsigned i = 0; i < t->count; i++)
-    if (t->world->hosts[t->machines[i].host].id == id)
+    if (t->world->hosts[t->machines[i].host].disk.id == id)
       return true;
   return false;
 }
--- a/tests/world/control.c
+++ b/tests/world/control.c
@@ -57,83 +57,6 @@
     }
 }
 
-static int
-save_vote (void *ctx, uint64_t term, uint64_t vote)
-{
-  struct wc_host *h = ctx;
-
-  if (h->disk.full)
-    return CFS_IO;
-  h->disk.term = term;
-  h->disk.vote = vote;
-  return CFS_OK;
-}
-
-static void
-copy_entry (struct cfs_raft_entry *to, const struct cfs_raft_entry *from)
-{
-  *to = *from;
-  to->data = cfs_alloc (from->len);
-  if (from->len)
-    memcpy (to->data, from->data, from->len);
-}
-
-static int
-append (void *ctx, const struct cfs_raft_entry *entries, size_t count)
-{
-  struct wc_host *h = ctx;
-
-  if (h->disk.full)
-    return CFS_IO;
-  h->disk.writes++;
-  for (size_t i = 0; i < count; i++)
-    {
-      cfs_grow (&h->disk.entries, &h->disk.cap, h->disk.count,
-                sizeof *h->disk.entries);
-      copy_entry (&h->disk.entries[h->disk.count++], &entries[i]);
-    }
-  return CFS_OK;
-}
-
-static int
-truncate_log (void *ctx, uint64_t from)
-{
-  struct wc_host *h = ctx;
-
-  while (h->disk.count && h->disk.entries[h->disk.count - 1].index >= from)
-    free (h->disk.entries[--h->disk.count].data);
-  return h->disk.full ? CFS_IO : CFS_OK;
-}
-
-static void
-copy_snapshot (struct cfs_raft_snapshot *to,
-               const struct cfs_raft_snapshot *from)
-{
-  *to = *from;
-  to->data = cfs_alloc (from->len);
-  if (from->len)
-    memcpy (to->data, from->data, from->len);
-}
-
-static int
-save_snapshot (void *ctx, const struct cfs_raft_snapshot *s)
-{
-  struct wc_host *h = ctx;
-  size_t kept = 0;
-
-  if (h->disk.full)
-    return CFS_IO;
-  free (h->disk.snapshot.data);
-  copy_snapshot (&h->disk.snapshot, s);
-  for (size_t i = 0; i < h->disk.count; i++)
-    if (h->disk.entries[i].index <= s->index)
-      free (h->disk.entries[i].data);
-    else
-      h->disk.entries[kept++] = h->disk.entries[i];
-  h->disk.count = kept;
-  return CFS_OK;
-}
-
 static void
 send_raft (void *ctx, const char *host, const Cfs__RaftMsg *msg)
 {
@@ -196,8 +119,9 @@
 }
 
 static const struct cfs_raft_ops raft_ops
-    = { save_vote, append,  truncate_log, save_snapshot, send_raft,
-        apply,     restore, serialize,    NULL };
+    = { wd_save_vote,     wd_append, wd_truncate,
+        wd_save_snapshot, send_raft, apply,
+        restore,          serialize, NULL };
 static const struct cfs_leader_ops leader_ops = { propose };
 
 static void
@@ -216,20 +140,13 @@
 wc_start (struct world_control *w, unsigned i)
 {
   struct wc_host *h = &w->hosts[i];
-  struct cfs_raft_initial_state initial = { .id = h->disk.id,
-                                            .term = h->disk.term,
-                                            .vote = h->disk.vote,
-                                            .count = h->disk.count,
-                                            .seed = cfs_random (&w->seed) };
+  struct cfs_raft_initial_state initial = { .seed = cfs_random (&w->seed) };
   char name[8];
 
   snprintf (name, sizeof name, "c%u", i + 1);
-  copy_snapshot (&initial.snapshot, &h->disk.snapshot);
+  wd_load (&h->disk, &initial);
   if (initial.snapshot.members.count == 0)
     set_initial_membership (&initial.snapshot.members);
-  initial.entries = cfs_alloc (h->disk.count * sizeof *initial.entries);
-  for (size_t k = 0; k < h->disk.count; k++)
-    copy_entry (&initial.entries[k], &h->disk.entries[k]);
   cfs_state_init (&h->state);
   h->leader = cfs_leader_new (&leader_ops, h, &h->state);
   h->raft = cfs_raft_new (&raft_ops, h, &initial, name, wc_host_now (h));
@@ -253,14 +170,7 @@
 void
 wc_lose_disk (struct world_control *w, unsigned i)
 {
-  struct wc_disk *d = &w->hosts[i].disk;
-
-  truncate_log (&w->hosts[i], 0);
-  free (d->snapshot.data);
-  memset (&d->snapshot, 0, sizeof d->snapshot);
-  d->term = 0;
-  d->vote = 0;
-  d->id = cfs_random (&w->seed);
+  wd_empty (&w->hosts[i].disk, cfs_random (&w->seed));
 }
 
 static void
@@ -311,8 +221,7 @@
   for (unsigned i = 0; i < WC_VOTERS; i++)
     {
       wc_crash (w, i);
-      wc_lose_disk (w, i);
-      free (w->hosts[i].disk.entries);
+      wd_empty (&w->hosts[i].disk, 0);
     }
   for (unsigned i = 0; i < WC_AGENTS; i++)
     {
--- a/tests/world/control.h
+++ b/tests/world/control.h
@@ -9,7 +9,7 @@
 #define WORLD_CONTROL_H
 
 #include "../../src/process/leader.h"
-#include "../../src/process/raft.h"
+#include "disk.h"
 
 #define WC_VOTERS 3
 #define WC_AGENTS 4
@@ -17,28 +17,9 @@
 #define WC_STEP_US 5000
 #define WC_ZONES 2
 
-/**
- * struct wc_disk - persistent state of a control host
- * @id: Raft member id; a new disk gets a new one
- * @term: current Raft term
- * @vote: id of the candidate that was voted for in @term, or 0
- * @snapshot: last snapshot
- * @entries: log entries after @snapshot
- * @full: writes fail
- * @writes: number of durable writes of log entries
- */
-struct wc_disk
-{
-  uint64_t id, term, vote;
-  struct cfs_raft_snapshot snapshot;
-  struct cfs_raft_entry *entries;
-  size_t count, cap;
-  bool full;
-  uint64_t writes;
-};
-
 /**
  * struct wc_host - one control host
+ * @disk: the first member, since the callbacks for storage are those of disk.h
  * @alive: the process runs
  * @frozen: the process is suspended; messages to it are queued
  * @drift_ppm: error of its clock, in parts per million
@@ -46,11 +27,11 @@
  */
 struct wc_host
 {
+  struct world_disk disk;
   struct world_control *world;
   unsigned index;
   bool alive, frozen;
   int drift_ppm;
-  struct wc_disk disk;
   struct cfs_raft *raft;
   struct cfs_state state;
   struct cfs_leader *leader;
--- a/tests/world/members.c
+++ b/tests/world/members.c
@@ -21,74 +21,6 @@
   return cfs_random (&w->seed) % bound;
 }
 
-static int
-save_vote (void *ctx, uint64_t term, uint64_t vote)
-{
-  struct wm_host *m = ctx;
-
-  m->term = term;
-  m->vote = vote;
-  return CFS_OK;
-}
-
-static struct cfs_raft_entry
-copy_entry (const struct cfs_raft_entry *from)
-{
-  struct cfs_raft_entry e = *from;
-
-  e.data = cfs_alloc (e.len + 1);
-  if (e.len)
-    memcpy (e.data, from->data, e.len);
-  return e;
-}
-
-static int
-append (void *ctx, const struct cfs_raft_entry *entries, size_t count)
-{
-  struct wm_host *m = ctx;
-
-  for (size_t i = 0; i < count && m->count < WM_VALUES; i++)
-    m->log[m->count++] = copy_entry (&entries[i]);
-  return CFS_OK;
-}
-
-static int
-truncate_log (void *ctx, uint64_t from)
-{
-  struct wm_host *m = ctx;
-
-  while (m->count && m->log[m->count - 1].index >= from)
-    free (m->log[--m->count].data);
-  return CFS_OK;
-}
-
-static void
-copy_snapshot (struct cfs_raft_snapshot *to,
-               const struct cfs_raft_snapshot *from)
-{
-  *to = *from;
-  to->data = cfs_alloc (from->len + 1);
-  if (from->len)
-    memcpy (to->data, from->data, from->len);
-}
-
-static int
-save_snapshot (void *ctx, const struct cfs_raft_snapshot *s)
-{
-  struct wm_host *m = ctx;
-  size_t kept = 0;
-
-  free (m->snapshot.data);
-  copy_snapshot (&m->snapshot, s);
-  for (size_t i = 0; i < m->count; i++)
-    if (m->log[i].index <= s->index)
-      free (m->log[i].data);
-    else
-      m->log[kept++] = m->log[i];
-  m->count = kept;
-  return CFS_OK;
-}
-
 static void
 send_message (void *ctx, const char *host, const Cfs__RaftMsg *msg)
 {
@@ -157,8 +89,9 @@
 }
 
 static const struct cfs_raft_ops ops
-    = { save_vote, append,  truncate_log, save_snapshot, send_message,
-        apply,     restore, serialize,    NULL };
+    = { wd_save_vote,     wd_append,    wd_truncate,
+        wd_save_snapshot, send_message, apply,
+        restore,          serialize,    NULL };
 
 static void
 set_initial_members (const struct world_members *w,
@@ -179,20 +112,13 @@
   struct wm_host *m = &w->hosts[i];
   struct cfs_raft_initial_state initial = { .manages_voters = true,
                                             .lost_disks = w->lost_disks,
-                                            .id = m->id,
-                                            .term = m->term,
-                                            .vote = m->vote,
-                                            .count = m->count,
                                             .seed = cfs_random (&w->seed) };
   char name[16];
 
   snprintf (name, sizeof name, "c%u", i + 1);
-  copy_snapshot (&initial.snapshot, &m->snapshot);
+  wd_load (&m->disk, &initial);
   if (initial.snapshot.members.count == 0)
     set_initial_members (w, &initial.snapshot.members);
-  initial.entries = cfs_alloc ((m->count + 1) * sizeof *initial.entries);
-  for (size_t k = 0; k < m->count; k++)
-    initial.entries[k] = copy_entry (&m->log[k]);
   m->applied = 0;
   m->up = true;
   m->raft = cfs_raft_new (&ops, m, &initial, name, w->now);
@@ -212,13 +138,7 @@
 void
 wm_lose_disk (struct world_members *w, unsigned i)
 {
-  struct wm_host *m = &w->hosts[i];
-
-  truncate_log (m, 0);
-  free (m->snapshot.data);
-  memset (&m->snapshot, 0, sizeof m->snapshot);
-  m->term = m->vote = 0;
-  m->id = cfs_random (&w->seed) | 1;
+  wd_empty (&w->hosts[i].disk, cfs_random (&w->seed) | 1);
 }
 
 struct world_members *
@@ -233,13 +153,14 @@
     {
       w->hosts[i].world = w;
       w->hosts[i].index = i;
-      w->hosts[i].id = i < WM_INITIAL_VOTERS ? FIRST_ID + i : FIRST_NEW_ID + i;
+      w->hosts[i].disk.id
+          = i < WM_INITIAL_VOTERS ? FIRST_ID + i : FIRST_NEW_ID + i;
     }
   for (unsigned i = 0; i < WM_INITIAL_VOTERS; i++)
     w->seeds[i] = i;
   for (unsigned i = 0; i < WM_INITIAL_VOTERS; i++)
     {
-      set_initial_members (w, &w->hosts[i].snapshot.members);
+      set_initial_members (w, &w->hosts[i].disk.snapshot.members);
       wm_start (w, i);
     }
   return w;
@@ -251,7 +172,7 @@
   for (unsigned i = 0; i < WM_HOSTS_MAX; i++)
     {
       wm_stop (w, i);
-      wm_lose_disk (w, i);
+      wd_empty (&w->hosts[i].disk, 0);
     }
   for (size_t i = 0; i < w->count; i++)
     free (w->messages[i].data);
--- a/tests/world/members.h
+++ b/tests/world/members.h
@@ -8,7 +8,7 @@
 #ifndef WORLD_MEMBERS_H
 #define WORLD_MEMBERS_H
 
-#include "../../src/process/raft.h"
+#include "disk.h"
 
 #define WM_HOSTS_MAX 10
 /* Number of seeds, at first the hosts c1 to c3, which form the group. */
@@ -21,23 +21,18 @@
 
 /**
  * struct wm_host - one control host and its disk
+ * @disk: the first member, since the callbacks for storage are those of disk.h
  * @up: the process runs
  * @cut: hosts with other values exchange no messages with it
- * @id: Raft member id; a new disk gets a new one
  * @applied: number of values that the running process has applied
  */
 struct wm_host
 {
+  struct world_disk disk;
   struct world_members *world;
   unsigned index;
   bool up;
   unsigned cut;
-  uint64_t id;
-  uint64_t term;
-  uint64_t vote;
-  struct cfs_raft_entry log[WM_VALUES];
-  size_t count;
-  struct cfs_raft_snapshot snapshot;
   struct cfs_raft *raft;
   uint64_t applied;
 };
