--- a/src/process/control_members.c
+++ b/src/process/control_members.c
@@ -59,10 +59,8 @@
 static size_t
 count_bearable_losses (const struct cfs_raft_membership *m)
 {
-  size_t voters = 0;
+  size_t voters = cfs_raft_count_voters (m);
 
-  for (size_t i = 0; i < m->count; i++)
-    voters += m->at[i].voter;
   return voters ? (voters - 1) / 2 : 0;
 }
 
--- a/src/process/raft.c
+++ b/src/process/raft.c
@@ -52,7 +52,7 @@
 size_t
 raft_majority (const struct cfs_raft *r)
 {
-  return raft_count_voters (&r->members) / 2 + 1;
+  return cfs_raft_count_voters (&r->members) / 2 + 1;
 }
 
 void
@@ -378,7 +378,7 @@
 cfs_raft_election (const struct cfs_raft *r)
 {
   struct cfs_raft_election e = { .heard_at = r->heard_at,
-                                 .voters = raft_count_voters (&r->members),
+                                 .voters = cfs_raft_count_voters (&r->members),
                                  .granted = r->last_granted,
                                  .needed = raft_majority (r),
                                  .is_voter = raft_is_voter (r, r->id) };
--- a/src/process/raft.h
+++ b/src/process/raft.h
@@ -314,6 +314,9 @@
 const struct cfs_raft_membership *
 cfs_raft_members (const struct cfs_raft *raft);
 
+/** cfs_raft_count_voters() - number of voters among members */
+size_t cfs_raft_count_voters (const struct cfs_raft_membership *members);
+
 /** cfs_raft_election() - state of the election of a leader */
 struct cfs_raft_election cfs_raft_election (const struct cfs_raft *raft);
 
--- a/src/process/raft_int.h
+++ b/src/process/raft_int.h
@@ -79,6 +79,7 @@
  * @seed: state of the random number generator
  * @contact: leader that sent to an earlier identity of this host, or ""; it
  * gets the join requests of this host, whose seeds may not be members
+ * @lost_disks: number of disks that may be lost at once, 0 if unknown
  * @last_granted: number of voters that granted a pre-vote in the last round
  * @surplus_voters_since: since when the group has had too many voters, or 0
  */
@@ -129,9 +130,6 @@
 /** raft_is_voter() - whether @id is a voter of the group */
 bool raft_is_voter (const struct cfs_raft *raft, uint64_t id);
 
-/** raft_count_voters() - number of voters among members */
-size_t raft_count_voters (const struct cfs_raft_membership *members);
-
 /** raft_majority() - number of voters that form a majority */
 size_t raft_majority (const struct cfs_raft *raft);
 
--- a/src/process/raft_member.c
+++ b/src/process/raft_member.c
@@ -28,7 +28,7 @@
 }
 
 size_t
-raft_count_voters (const struct cfs_raft_membership *members)
+cfs_raft_count_voters (const struct cfs_raft_membership *members)
 {
   size_t voters = 0;
 
@@ -91,7 +91,7 @@
 static size_t
 infer_min_voters (const struct cfs_raft_membership *members)
 {
-  return raft_count_voters (members) > RAFT_VOTERS_SMALL_GROUP
+  return cfs_raft_count_voters (members) > RAFT_VOTERS_SMALL_GROUP
              ? RAFT_VOTERS_LARGE_GROUP
              : RAFT_VOTERS_SMALL_GROUP;
 }
--- a/src/process/raft_voters.c
+++ b/src/process/raft_voters.c
@@ -107,7 +107,7 @@
 static bool
 is_large (const struct cfs_raft *r, int64_t now)
 {
-  if (raft_count_voters (&r->members) > RAFT_VOTERS_SMALL_GROUP
+  if (cfs_raft_count_voters (&r->members) > RAFT_VOTERS_SMALL_GROUP
       && count_live (r, RAFT_LEARNER_SILENT_US, now) >= RAFT_LARGE_GROUP)
     return true;
   return count_answering (r, now) >= RAFT_LARGE_GROUP;
@@ -162,7 +162,7 @@
 maintain_voters (struct cfs_raft *r, size_t learner, int64_t now)
 {
   size_t none = r->members.count;
-  size_t voters = raft_count_voters (&r->members);
+  size_t voters = cfs_raft_count_voters (&r->members);
   size_t wanted = desired_voters (r, now);
   bool fails = find_replaceable_voter (r, now) < none;
   size_t surplus;
@@ -210,7 +210,7 @@
 static bool
 has_learner (const struct cfs_raft *r)
 {
-  return raft_count_voters (&r->members) < r->members.count;
+  return cfs_raft_count_voters (&r->members) < r->members.count;
 }
 
 bool
@@ -222,7 +222,7 @@
 
   if (!self || !self->voter
       || (!has_learner (r)
-          && raft_count_voters (&r->members) <= required_voters (r)))
+          && cfs_raft_count_voters (&r->members) <= required_voters (r)))
     return false;
   p->left_at = now;
   raft_init_msg (r, &m, MSG_LEAVE, r->leader);
--- a/tests/unit/members_losses.c
+++ b/tests/unit/members_losses.c
@@ -330,19 +330,15 @@
 {
   int leader = wm_leader (t->world);
   const struct cfs_raft_membership *members;
-  size_t voters = 0;
   size_t intact = 0;
 
   if (leader < 0)
     return true;
   members = cfs_raft_members (t->world->hosts[leader].raft);
   for (size_t i = 0; i < members->count; i++)
-    if (members->at[i].voter)
-      {
-        voters++;
-        intact += has_intact_disk (t, members->at[i].id);
-      }
-  return intact >= voters / 2 + 1 + t->tolerated - count_disks_lost (t);
+    intact += members->at[i].voter && has_intact_disk (t, members->at[i].id);
+  return intact >= cfs_raft_count_voters (members) / 2 + 1 + t->tolerated
+                       - count_disks_lost (t);
 }
 
 static void
--- a/tests/world/members.c
+++ b/tests/world/members.c
@@ -255,15 +255,9 @@
 wm_voters (const struct world_members *w)
 {
   int l = wm_leader (w);
-  const struct cfs_raft_membership *m;
-  size_t count = 0;
-
-  if (l < 0)
-    return 0;
-  m = cfs_raft_members (w->hosts[l].raft);
-  for (size_t i = 0; i < m->count; i++)
-    count += m->at[i].voter;
-  return count;
+
+  return l < 0 ? 0
+               : cfs_raft_count_voters (cfs_raft_members (w->hosts[l].raft));
 }
 
 void
