--- a/review/stand-3/instance.c
+++ b/review/stand-3/instance.c
@@ -42,6 +42,7 @@
   unsigned write_count;
   char prepared[PREPARED_MAX][TEXT];
   unsigned prepared_count;
+  bool big;
   char reply[2048];
   size_t reply_len;
 };
@@ -372,7 +373,10 @@
     }
   else if (strncmp (text, "READ ", 5) == 0)
     {
-      add (c, "ROW qhzkwm\r\n");
+      if (strcmp (text + 5, BIG_ITEM) == 0)
+        c->big = true;
+      else
+        add (c, "ROW qhzkwm\r\n");
       complete (c, true);
     }
   else if (strncmp (text, "WRITE ", 6) == 0)
@@ -455,6 +459,33 @@
   return false;
 }
 
+/* Rows of the greatest length go before the reply. */
+static bool
+send_reply (struct connection *c)
+{
+  static char row[BIG_ROW_BYTES];
+  bool big = c->big;
+
+  c->big = false;
+  if (big)
+    {
+      memset (row, 'x', sizeof row);
+      memcpy (row, "ROW ", 4);
+      memcpy (row + sizeof row - 2, "\r\n", 2);
+      for (size_t at = 0; at < BIG_ROWS * sizeof row;)
+        {
+          size_t in_row = at % sizeof row;
+          ssize_t sent = send (c->fd, row + in_row, sizeof row - in_row,
+                               MSG_NOSIGNAL);
+
+          if (sent <= 0)
+            return false;
+          at += (size_t)sent;
+        }
+    }
+  return send (c->fd, c->reply, c->reply_len, MSG_NOSIGNAL) >= 0;
+}
+
 static bool
 is_cut (const struct connection *c)
 {
@@ -469,6 +500,7 @@
   char line[TEXT];
   bool started = false;
   bool ended = false;
+  bool answers;
 
   while (!ended && fgets (line, sizeof line, c->in))
     {
@@ -486,10 +518,10 @@
         handle_query (c, line);
       else if (strcmp (line, "TERMINATE") == 0)
         ended = true;
-      if (c->reply_len && !is_cut (c)
-          && send (c->fd, c->reply, c->reply_len, MSG_NOSIGNAL) < 0)
-        ended = true;
+      answers = c->reply_len && !is_cut (c);
       pthread_mutex_unlock (&lock);
+      if (answers && !send_reply (c))
+        ended = true;
     }
   pthread_mutex_lock (&lock);
   c->used = false;
--- a/review/stand-3/rig.c
+++ b/review/stand-3/rig.c
@@ -23,7 +23,6 @@
 #include <unistd.h>
 
 #define PORT_CONTROL 8462
-#define PORT_FRONT 8465
 #define PORT_READY 8460
 #define PORT_PEER 7560
 #define START_LIMIT_MS 25000
@@ -343,11 +342,11 @@
            "{\"host\": \"%s\", \"address\": \"%s\", \"zone\": \"z%u\", "
            "\"zones\": {\"z0\":\"a\",\"z1\":\"b\",\"z2\":\"c\"}, \"seeds\": "
            "[\"%s:%d\",\"%s:%d\",\"%s:%d\"], \"control_port\": %d, "
-           "\"revoke_ms\": 5000, \"memory_mb\": 260, \"max_fds\": 4200, "
+           "\"revoke_ms\": 5000, \"memory_mb\": %d, \"max_fds\": 4200, "
            "\"stop_seconds\": 6",
            h->address, h->address, zone, hosts[0].address, PORT_CONTROL,
            hosts[1].address, PORT_CONTROL, hosts[2].address, PORT_CONTROL,
-           PORT_PEER);
+           PORT_PEER, MEMORY_MB);
   if (h->core)
     fprintf (f,
              ", \"first_start\": %s, \"lost_disks\": 1, \"control_address\": "
@@ -410,6 +409,40 @@
     kill (hosts[n].pid, sig);
 }
 
+unsigned
+host_memory_mb (unsigned n)
+{
+  char path[64];
+  unsigned long pages = 0;
+  unsigned long resident = 0;
+  FILE *f;
+
+  snprintf (path, sizeof path, "/proc/%d/statm", (int)hosts[n].pid);
+  f = fopen (path, "r");
+  if (f && fscanf (f, "%lu %lu", &pages, &resident) != 2)
+    resident = 0;
+  if (f)
+    fclose (f);
+  return (unsigned)(resident * (unsigned long)sysconf (_SC_PAGESIZE) >> 20);
+}
+
+bool
+host_has_ended (unsigned n)
+{
+  struct host *h = &hosts[n];
+
+  if (h->pid <= 0 || waitpid (h->pid, NULL, WNOHANG) != h->pid)
+    return false;
+  h->pid = 0;
+  return true;
+}
+
+const char *
+host_address (unsigned n)
+{
+  return hosts[n].address;
+}
+
 static void
 count_request (int64_t sent, bool served)
 {
--- a/review/stand-3/rig.h
+++ b/review/stand-3/rig.h
@@ -21,6 +21,13 @@
 #define NAME 64
 #define TEXT 512
 #define SERVICE "order-ledger"
+#define PORT_FRONT 8465
+/* Memory of a machine. */
+#define MEMORY_MB 260
+/* Item whose rows are messages of the greatest length. */
+#define BIG_ROWS 3
+#define BIG_ITEM "big"
+#define BIG_ROW_BYTES ((1 << 20) - 64)
 /* Times of the site file cwpc-trays. */
 #define HEARTBEAT_MS 1200
 #define PROMOTE_MS 300
@@ -79,6 +86,11 @@
 void host_kill (unsigned host);
 void host_start (unsigned host);
 void host_signal (unsigned host, int sig);
+/** host_memory_mb() - memory that the process of a host uses, in MiB */
+unsigned host_memory_mb (unsigned host);
+/** host_has_ended() - whether its process has ended by itself */
+bool host_has_ended (unsigned host);
+const char *host_address (unsigned host);
 
 /** instance_stop() - the process of an instance ends without a word */
 void instance_stop (unsigned instance);
