--- a/review/stand-3/instance.c
+++ b/review/stand-3/instance.c
@@ -687,6 +687,28 @@
   return NULL;
 }
 
+int
+foreign_report (unsigned at_instance, const char *id, const char *version)
+{
+  char path[128];
+  char body[TEXT];
+  int status = 0;
+
+  snprintf (path, sizeof path, "/v1/Instances.Heartbeat/%s", id);
+  snprintf (body, sizeof body,
+            "{\"service\":\"" SERVICE
+            "\",\"address\":\"%s:%d\",\"zone\":\"z0\",\"version\":\"%s\","
+            "\"slots\":4,\"state\":\"ready\",\"cold_remaining_ms\":0,"
+            "\"db_role\":\"primary\",\"sequence\":1,\"born\":%" PRId64 "}",
+            address_of (ADDRESS_INSTANCE + at_instance), PORT_INSTANCE,
+            version, unix_ms ());
+  for (unsigned node = 0; node < CORES && (status < 200 || status > 499);
+       node++)
+    status = control_call (node, "POST", path, body);
+  note ("report of another writer, id %s: status %d", id, status);
+  return status;
+}
+
 static void
 carry_out (int fd, const char *text)
 {
--- a/review/stand-3/rig.c
+++ b/review/stand-3/rig.c
@@ -160,6 +160,7 @@
 finish (bool broken)
 {
   note (broken ? "the rule was broken" : "the rule held");
+  fflush (stdout);
   end_all ();
   remove_folder ();
   _exit (broken ? 1 : 0);
@@ -218,7 +219,8 @@
    status, 0 without a response. */
 static int
 http_once (const char *address, const char *method, const char *path,
-           const char *body, char *location)
+           const char *body, size_t body_len, char *location, char *out,
+           size_t out_size)
 {
   char text[8192];
   size_t len = 0;
@@ -232,9 +234,10 @@
   len = (size_t)snprintf (text, sizeof text,
                           "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: "
                           "application/json\r\nContent-Length: %zu\r\n"
-                          "Connection: close\r\n\r\n%s",
-                          method, path, address, strlen (body), body);
-  if (send (fd, text, len, MSG_NOSIGNAL) != (ssize_t)len)
+                          "Connection: close\r\n\r\n",
+                          method, path, address, body_len);
+  if (send (fd, text, len, MSG_NOSIGNAL) != (ssize_t)len
+      || send (fd, body, body_len, MSG_NOSIGNAL) != (ssize_t)body_len)
     {
       close (fd);
       return 0;
@@ -247,15 +250,18 @@
   close (fd);
   if (sscanf (text, "HTTP/1.1 %d", &status) != 1)
     return 0;
+  at = strstr (text, "\r\n\r\n");
+  if (out && at)
+    snprintf (out, out_size, "%s", at + 4);
   at = strcasestr (text, "Location: http://");
   if (location && at)
     sscanf (at + 17, "%31[0-9.]", location);
   return status;
 }
 
-int
-control_call (unsigned first, const char *method, const char *path,
-              const char *body)
+static int
+call (unsigned first, const char *method, const char *path, const char *body,
+      size_t body_len, char *out, size_t out_size)
 {
   char address[32];
   char next[32];
@@ -265,7 +271,8 @@
   for (int hop = 0; hop < 3; hop++)
     {
       *next = '\0';
-      status = http_once (address, method, path, body, next);
+      status = http_once (address, method, path, body, body_len, next, out,
+                          out_size);
       if (status != 307 || !*next)
         return status;
       snprintf (address, sizeof address, "%s", next);
@@ -273,8 +280,39 @@
   return 307;
 }
 
-static void
-configuration (char *out, size_t size, unsigned number)
+int
+control_call (unsigned first, const char *method, const char *path,
+              const char *body)
+{
+  return call (first, method, path, body, strlen (body), NULL, 0);
+}
+
+int
+operator_send_bytes (const char *body, size_t len)
+{
+  int status = 0;
+
+  for (unsigned node = 0; node < CORES && (status < 200 || status > 499);
+       node++)
+    status = call (node, "POST", "/v1/Config.Replace", body, len, NULL, 0);
+  note ("operator: %zu bytes sent, status %d", len, status);
+  return status;
+}
+
+int
+operator_read (char *out, size_t size)
+{
+  int status = 0;
+
+  *out = '\0';
+  for (unsigned node = 0; node < CORES && status != 200; node++)
+    status = call (node, "GET", "/v1/Config.Describe", "", 0, out, size);
+  note ("operator: read back, status %d: %.60s", status, out);
+  return status;
+}
+
+void
+operator_configuration (char *out, size_t size, unsigned number)
 {
   static const char *const types[]
       = { "primary", "bounded_staleness", "read_your_writes" };
@@ -312,7 +350,7 @@
   int64_t until = now_ms () + within_ms;
   unsigned node = 0;
 
-  configuration (body, sizeof body, ++version);
+  operator_configuration (body, sizeof body, ++version);
   while (now_ms () < until)
     {
       int status
--- a/review/stand-3/rig.h
+++ b/review/stand-3/rig.h
@@ -11,6 +11,7 @@
 #define RIG_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 #include <sys/types.h>
 
@@ -108,10 +109,21 @@
 /** instance_log_note() - notes the state of all instances in the record */
 void instance_log_note (void);
 
+/** foreign_report() - sends a status report as another writer does.  Return:
+ * the status of the response. */
+int foreign_report (unsigned at_instance, const char *id, const char *version);
+
 /** operator_send() - sends a configuration of the next version until it is
  * acknowledged.  Return: the time of the acknowledgement, -1 without one. */
 int64_t operator_send (int64_t within_ms);
 
+/** operator_configuration() - a valid configuration of a version */
+void operator_configuration (char *out, size_t size, unsigned number);
+/** operator_send_bytes() - sends a body as it is.  Return: the status. */
+int operator_send_bytes (const char *body, size_t len);
+/** operator_read() - reads the configuration back.  Return: the status. */
+int operator_read (char *out, size_t size);
+
 extern struct instance instances[INSTANCES_MAX];
 
 #endif
