--- a/review/stand-3/case_11.c
+++ b/review/stand-3/case_11.c
@@ -1,7 +1,7 @@
 /*
- * A replica crashes and comes back with its log, and while it is down the
- * primary is lost for good.  Then, right after a configuration was
- * acknowledged, all processes of the system are killed and started again.
+ * One status report of another writer, with a byte that cannot be read as
+ * text, names the address of the primary.  Then, right after a configuration
+ * was acknowledged, all processes of the system are killed and started again.
  */
 #include "rig.h"
 
@@ -9,12 +9,9 @@
 #include <stdio.h>
 
 #define REQUESTERS 12
-#define CALM_MS 6000
-/* Largest times of the site file. */
-#define CRASH_MS 7000
+#define CALM_MS 8000
+#define FINAL_AFTER_MS 2000
 #define DOWN_MS 1600
-#define LOSS_AFTER_MS 2000
-#define FINAL_AFTER_MS 9000
 #define RECOVERY_MS 12000
 #define MEASURED_MS 15000
 
@@ -23,24 +20,14 @@
 {
   struct tally before;
   struct tally after;
-  int64_t start;
   int64_t final;
   int64_t back;
-  bool broken;
 
   rig_start ("review/11/record.txt", REQUESTERS);
-  start = now_ms () + CALM_MS;
-  sleep_until (start);
+  sleep_ms (CALM_MS);
   if (trouble)
-    {
-      instance_stop (1);
-      sleep_until (start + LOSS_AFTER_MS);
-      instance_stop (0);
-      sleep_until (start + CRASH_MS);
-      instance_start (1, NULL, true);
-    }
-  sleep_until (start + FINAL_AFTER_MS);
-  instance_log_note ();
+    foreign_report (0, "i-other", "v\xff\xfe");
+  sleep_ms (FINAL_AFTER_MS);
   if (operator_send (8000) < 0)
     fail ("no configuration is acknowledged before the final fault");
   final = now_ms ();
@@ -62,8 +49,7 @@
         RECOVERY_MS, after.sent, after.served);
   if (before.served * 4 < before.sent || !after.sent)
     fail ("too little is served before the final fault, or nothing is sent");
-  broken = after.served * 4 < after.sent;
   printf ("before: %u of %u served; after: %u of %u served\n", before.served,
           before.sent, after.served, after.sent);
-  finish (broken);
+  finish (after.served * 4 < after.sent);
 }
--- a/review/stand-3/case_12.c
+++ b/review/stand-3/case_12.c
@@ -28,8 +28,9 @@
 #define ROUND_MS 20000
 #define RESTART_MS 1000
 #define RECEIVE_BYTES 4096
-/* Pause between two statements of the crowd. */
-#define SEND_GAP_MS 15
+/* Pause between two statements of the crowd: answers of 3 MiB every 40 ms are
+   630 Mbit/s, the link of a machine has 1,000. */
+#define SEND_GAP_MS 40
 
 /** struct crowd - what happens at one host */
 struct crowd
--- a/review/stand-3/case_13.c
+++ b/review/stand-3/case_13.c
@@ -1,55 +1,65 @@
 /*
- * One status report of another writer, with a byte that cannot be read as
- * text, names the address of the primary.  Then, right after a configuration
- * was acknowledged, all processes of the system are killed and started again.
+ * The operator's configuration arrives with one bit flipped, so that its text
+ * is no UTF-8 and cannot be read in full.
  */
+#define _GNU_SOURCE
 #include "rig.h"
 
-#include <signal.h>
 #include <stdio.h>
+#include <string.h>
 
-#define REQUESTERS 12
-#define CALM_MS 8000
-#define FINAL_AFTER_MS 2000
-#define DOWN_MS 1600
-#define RECOVERY_MS 12000
-#define MEASURED_MS 15000
+#define REQUESTERS 6
+#define CALM_MS 5000
+#define APPLY_MS 3000
+#define MEASURED_MS 5000
+#define VERSION 40
+#define DAMAGED "\"hallkey1\""
+
+static bool
+is_version (const char *text)
+{
+  char start[32];
+
+  snprintf (start, sizeof start, "{\"version\":%d,", VERSION);
+  return strncmp (text, start, strlen (start)) == 0;
+}
 
 int
 main (void)
 {
+  char body[4096];
+  char text[8192];
+  char *at;
   struct tally before;
   struct tally after;
-  int64_t final;
-  int64_t back;
+  int64_t sent;
+  int status;
 
   rig_start ("review/13/record.txt", REQUESTERS);
   sleep_ms (CALM_MS);
+  before = rig_tally (now_ms () - CALM_MS, now_ms ());
+  operator_configuration (body, sizeof body, VERSION);
+  at = strstr (body, DAMAGED);
+  if (!at)
+    fail ("the route is not in the configuration");
   if (trouble)
-    foreign_report (0, "i-other", "v\xff\xfe");
-  sleep_ms (FINAL_AFTER_MS);
-  if (operator_send (8000) < 0)
-    fail ("no configuration is acknowledged before the final fault");
-  final = now_ms ();
-  note ("final fault: all processes are killed");
-  for (unsigned i = 0; i < HOSTS; i++)
-    host_kill (i);
-  sleep_ms (DOWN_MS);
-  for (unsigned i = 0; i < HOSTS; i++)
-    host_start (i);
-  back = now_ms ();
-  note ("all machines are back");
-  sleep_until (back + RECOVERY_MS + MEASURED_MS + 2000);
-  instance_log_note ();
-  before = rig_tally (0, final);
-  after = rig_tally (back + RECOVERY_MS, back + RECOVERY_MS + MEASURED_MS);
-  note ("before the final fault: sent %u, served %u", before.sent,
-        before.served);
-  note ("later than %d ms after the machines are back: sent %u, served %u",
-        RECOVERY_MS, after.sent, after.served);
-  if (before.served * 4 < before.sent || !after.sent)
-    fail ("too little is served before the final fault, or nothing is sent");
-  printf ("before: %u of %u served; after: %u of %u served\n", before.served,
-          before.sent, after.served, after.sent);
-  finish (after.served * 4 < after.sent);
+    at[strlen (DAMAGED) - 2] ^= (char)0x80;
+  status = operator_send_bytes (body, strlen (body));
+  if (status < 200)
+    fail ("the configuration has no answer");
+  sent = now_ms ();
+  sleep_until (sent + APPLY_MS + MEASURED_MS);
+  after = rig_tally (sent + APPLY_MS, now_ms () - 500);
+  if (operator_read (text, sizeof text) != 200)
+    fail ("the configuration cannot be read back");
+  note ("before: sent %u, served %u; later than %d ms after: sent %u, served "
+        "%u",
+        before.sent, before.served, APPLY_MS, after.sent, after.served);
+  printf ("status %d, version %d in force: %d, before %u of %u served, after "
+          "%u of %u\n",
+          status, VERSION, is_version (text), before.served, before.sent,
+          after.served, after.sent);
+  if (!trouble)
+    finish (status != 200 || !is_version (text));
+  finish (status == 200 || is_version (text));
 }
