--- a/review/stand-3/case_11.c
+++ b/review/stand-3/case_11.c
@@ -15,10 +15,10 @@
 #define REQUESTERS 3
 #define CALM_MS 3000
 /* Times from the moment at which the one begins to stand still. */
-#define SUCCESSOR_MS 300
-#define STOP_MS 2300
-#define WIPE_MS 4400
-#define WAKES_MS 6000
+#define SUCCESSOR_MS 800
+#define STOP_MS 2800
+#define WIPE_MS 4900
+#define WAKES_MS 6600
 #define DOWN_MS 1000
 #define RECOVERY_MS 12000
 #define CATCH_UP_MS 4000
