Review: case 11 ends no host inside its grace period

Cause: the replaced host was killed 2.1 s after SIGTERM, the grace period is 6 s; it had stopped by itself, but the script did not show it. Change: the script checks that the host has ended by itself, and cannot run (2) if it has not.

--- a/review/stand-3/case_11.c
+++ b/review/stand-3/case_11.c
@@ -76,7 +76,10 @@
       note ("host %u gets SIGTERM and is gone for good", replaced);
     }
   sleep_until (start + WIPE_MS);
-  host_kill (trouble ? replaced : SPARE);
+  if (trouble && !host_has_ended (replaced))
+    fail ("the replaced host has not stopped by itself yet");
+  if (trouble)
+    note ("host %u has stopped by itself", replaced);
   operator_configuration (sent, sizeof sent, 2);
   if (operator_send (1500) < 0)
     fail ("the configuration is not acknowledged in time");
